--- /dev/null
+++ b/include/figreach/error_kind.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace figreach {
+
+/// What is known of a request's execution at a backend server.
+enum class run_state : std::uint8_t {
+    not_run, ///< it truly did not run and will not
+    unknown, ///< it may or may not have run
+    ran,     ///< it ran
+};
+
+/// Every way in which a request, an operator's call or a message can fail. The list is closed.
+enum class error_kind : std::uint8_t {
+    malformed_request,
+    header_too_large,
+    missing_service,
+    missing_key,
+    unknown_service,
+    unknown_tenant,
+    unknown_class,
+    malformed_deadline,
+    deadline_expired,
+    deadline_exceeded,
+    no_owner,
+    stale_route,
+    not_coordinator,
+    too_many_hops,
+    overloaded,
+    tenant_over_limit,
+    queue_full,
+    server_cold,
+    server_refused,
+    server_unreachable,
+    outcome_unknown,
+    answer_incomplete,
+    retry_budget_spent,
+    repeat_in_progress,
+    repeat_outcome_unknown,
+    repeat_mismatch,
+    missing_idempotency_key,
+    caller_gone,
+    host_stopping,
+    malformed_peer_message,
+    malformed_document,
+    malformed_settings,
+    invalid_description,
+    version_conflict,
+    dangerous_change,
+    store_unavailable,
+    store_outcome_unknown,
+    unauthorized,
+};
+
+/// How one error kind is answered to a caller.
+struct error_answer {
+    error_kind kind;
+    std::string_view name; ///< machine-readable, stable
+    unsigned http_status;  ///< 0 where no HTTP answer is given
+    run_state ran;
+    bool may_come_back;      ///< whether Retry-After is sent
+    std::string_view remedy; ///< one sentence for people
+};
+
+/// The whole table, one row a kind, in the order of the enumeration.
+[[nodiscard]] std::span<const error_answer> error_table();
+
+/// The row of one kind.
+[[nodiscard]] const error_answer& answer_of(error_kind kind);
+
+[[nodiscard]] std::string_view name_of(error_kind kind);
+[[nodiscard]] std::string_view name_of(run_state state);
+
+} // namespace figreach
--- /dev/null
+++ b/include/figreach/host_settings.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "figreach/fault.h"
+#include "figreach/ids.h"
+#include "figreach/time.h"
+
+namespace figreach {
+
+/// Settings of one entry host process: only what differs by process. All that is shared lives in
+/// the description.
+struct host_settings {
+    host_id name;
+    failure_domain_id failure_domain;
+    std::string caller_address;   ///< HTTP of callers
+    std::string forward_address;  ///< HTTP of other entry hosts
+    std::string peer_address;     ///< messages between entry hosts
+    std::string operator_address; ///< operators' RPC
+    std::string admin_address;    ///< /metrics and /ready
+    std::vector<std::string> seeds;
+    std::string store_address;
+    std::uint32_t request_threads = 2;
+    std::string log_level = "info";
+    std::string log_file;       ///< empty: standard error
+    std::string operator_token; ///< empty: operators' changes are refused
+    milliseconds balancer_grace{2000};
+    milliseconds drain_limit{30000};
+};
+
+struct parsed_host_settings {
+    host_settings value;
+    fault_list faults;
+};
+
+/// Parses and checks a whole settings file in TOML. `file` is used in faults only.
+[[nodiscard]] parsed_host_settings parse_host_settings(std::string_view toml,
+                                                       const std::string& file);
+
+} // namespace figreach
--- /dev/null
+++ b/include/figreach/peer_message.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "figreach/ids.h"
+#include "figreach/key_hash.h"
+#include "figreach/partition.h"
+
+namespace figreach {
+
+enum class host_liveness : std::uint8_t { alive, suspect, leaving, dead };
+
+/// What one entry host says or has heard of an entry host.
+struct host_state {
+    host_id host;
+    std::uint64_t incarnation = 0;
+    host_liveness state = host_liveness::alive;
+    failure_domain_id failure_domain;
+    std::string peer_address;
+    std::string forward_address;
+    std::uint64_t description_version = 0;
+
+    friend bool operator==(const host_state&, const host_state&) = default;
+};
+
+struct partition_version {
+    partition_id id;
+    std::uint64_t version = 0;
+
+    friend bool operator==(const partition_version&, const partition_version&) = default;
+};
+
+/// Who coordinates a backend server; a hint for forwarding, no safety rests on it.
+struct coordinator_hint {
+    backend_server_id server;
+    host_id host;
+    std::uint64_t term = 0; ///< the hint with the higher term wins
+
+    friend bool operator==(const coordinator_hint&, const coordinator_hint&) = default;
+};
+
+/// What a host tells with each probe and answer.
+struct gossip {
+    std::vector<host_state> hosts;
+    std::uint64_t description_version = 0;
+    std::vector<partition_version> partitions;
+    std::vector<coordinator_hint> coordinators;
+
+    friend bool operator==(const gossip&, const gossip&) = default;
+};
+
+struct probe {
+    std::uint64_t sequence = 0;
+    host_id on_behalf_of; ///< set in a probe made for another host
+    host_id target;       ///< set in a request for an indirect probe
+    gossip news;
+
+    friend bool operator==(const probe&, const probe&) = default;
+};
+
+struct probe_answer {
+    std::uint64_t sequence = 0;
+    gossip news;
+
+    friend bool operator==(const probe_answer&, const probe_answer&) = default;
+};
+
+/// Asks a validator: do you know a version above mine, and may I coordinate these servers?
+struct confirm_request {
+    std::uint64_t sequence = 0;
+    partition_version known;
+    std::vector<backend_server_id> servers;
+
+    friend bool operator==(const confirm_request&, const confirm_request&) = default;
+};
+
+struct confirm_answer {
+    std::uint64_t sequence = 0;
+    partition_version known;
+    std::vector<backend_server_id> servers; ///< those that the asker may coordinate
+    bool recovering = false;                ///< restarted, may confirm nothing yet
+
+    friend bool operator==(const confirm_answer&, const confirm_answer&) = default;
+};
+
+struct document_request {
+    partition_version above;  ///< send the partition if it is newer than this
+    bool description = false; ///< true: the description if it is newer than above.version
+
+    friend bool operator==(const document_request&, const document_request&) = default;
+};
+
+/// Encoded documents; empty: not sent.
+struct document_offer {
+    std::string partition;
+    std::string description;
+
+    friend bool operator==(const document_offer&, const document_offer&) = default;
+};
+
+struct slice_load {
+    key_hash first = 0;
+    double requests_per_second = 0.0;
+
+    friend bool operator==(const slice_load&, const slice_load&) = default;
+};
+
+/// State of a backend server as its coordinator sees it.
+enum class server_condition : std::uint8_t { serving, cold, slow, shedding, leaving, lost };
+
+/// Sent by a coordinator to the assigner of the partition.
+struct load_report {
+    partition_id id;
+    backend_server_id server;
+    server_condition condition = server_condition::serving;
+    std::uint64_t incarnation = 0;
+    std::vector<slice_load> slices;
+
+    friend bool operator==(const load_report&, const load_report&) = default;
+};
+
+/// Sent by an assigner to the coordinator of the present owner, which alone decides.
+struct move_request {
+    partition_version known;
+    key_hash first = 0;
+    std::uint64_t fence = 0;
+    backend_server_id from;
+    backend_server_id to;
+
+    friend bool operator==(const move_request&, const move_request&) = default;
+};
+
+using peer_body = std::variant<probe, probe_answer, confirm_request, confirm_answer,
+                               document_request, document_offer, load_report, move_request>;
+
+struct peer_message {
+    host_id sender;
+    std::uint64_t incarnation = 0;
+    peer_body body;
+
+    friend bool operator==(const peer_message&, const peer_message&) = default;
+};
+
+} // namespace figreach
--- /dev/null
+++ b/include/figreach/request_head.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "figreach/description.h"
+#include "figreach/error_kind.h"
+#include "figreach/time.h"
+
+namespace figreach {
+
+/// Header fields of the contract with callers and backend servers; see docs/backend-contract.md.
+namespace field {
+inline constexpr auto service = "X-Figreach-Service";
+inline constexpr auto key = "X-Figreach-Key";
+inline constexpr auto tenant = "X-Figreach-Tenant";
+inline constexpr auto request_class = "X-Figreach-Class";
+inline constexpr auto deadline = "X-Figreach-Deadline-Ms";
+inline constexpr auto attempt = "X-Figreach-Attempt";
+inline constexpr auto hops = "X-Figreach-Hops";
+inline constexpr auto request_id = "X-Figreach-Request-Id";
+inline constexpr auto fence = "X-Figreach-Fence";
+inline constexpr auto hash = "X-Figreach-Hash";
+inline constexpr auto outcome = "X-Figreach-Outcome";
+inline constexpr auto error = "X-Figreach-Error";
+inline constexpr auto server = "X-Figreach-Server";
+inline constexpr auto incarnation = "X-Figreach-Incarnation";
+inline constexpr auto idempotency_key = "Idempotency-Key";
+} // namespace field
+
+/// The fields of a request that decide where it goes, as text.
+struct request_head {
+    std::string method;
+    std::string service;
+    std::string key;
+    std::string tenant;
+    std::string request_class;
+    std::string deadline_ms;
+    std::string idempotency_key;
+    std::string attempt;
+    std::string request_id;
+    std::uint32_t hops = 0; ///< entry hosts that have forwarded the request
+};
+
+/// A request that was found valid under a description.
+struct checked_request {
+    const service* target = nullptr; ///< lives as long as the description
+    const tenant* payer = nullptr;
+    std::string key;
+    class_id request_class;
+    std::uint32_t shed_order = 0;
+    bool idempotent = false;
+    std::string idempotency_key; ///< empty: none
+    bool first_attempt = false;  ///< the caller says that it never sent this before
+    milliseconds allowed{0};     ///< time for the whole request, from its arrival
+    std::uint32_t hops = 0;
+};
+
+/// Checks a request against the description in force.
+[[nodiscard]] std::variant<checked_request, error_kind> check_request(const request_head& head,
+                                                                      const description& all);
+
+} // namespace figreach
--- /dev/null
+++ b/include/figreach/rpc/entry_host.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <thread>
+
+#include "figreach/controller.h"
+#include "figreach/host_settings.h"
+#include "figreach/rpc/store_link.h"
+#include "figreach/runtime/doorbell.h"
+#include "figreach/runtime/link_board.h"
+#include "figreach/runtime/peer_link.h"
+#include "figreach/runtime/request_plane.h"
+#include "figreach/runtime/ring.h"
+#include "figreach/runtime/route_board.h"
+#include "figreach/runtime/server_caller.h"
+
+namespace figreach {
+
+/// One entry host: all its threads, joined by rings. The control thread takes events from the
+/// other threads, asks the controller, and hands its actions out.
+class entry_host {
+public:
+    /// Starts all threads. Throws boost::system::system_error or zmq::error_t when it cannot
+    /// listen.
+    explicit entry_host(const host_settings& settings);
+    ~entry_host();
+    entry_host(const entry_host&) = delete;
+    entry_host& operator=(const entry_host&) = delete;
+
+private:
+    void run();
+    void take_events();
+    void take(const control_event& event);
+    void carry_out(const send_to_host& action);
+    void carry_out(const call_store& action);
+    void carry_out(const call_server& action);
+    void carry_out(const publish_routes& action);
+    void carry_out(const extend_authority& action);
+
+    host_identity identity;
+    controller decisions;
+    doorbell bell;
+    ring<control_event> from_peers;
+    ring<control_event> from_store;
+    ring<control_event> from_servers;
+    route_board routes;
+    link_board links;
+    std::shared_ptr<const routing_snapshot> published;
+    peer_link peers;
+    store_link store;
+    server_caller servers;
+    request_plane requests;
+    std::atomic<bool> stopping{false};
+    std::thread duty;
+};
+
+} // namespace figreach
--- /dev/null
+++ b/include/figreach/runtime/request_plane.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "figreach/ids.h"
+#include "figreach/runtime/link_board.h"
+#include "figreach/runtime/route_board.h"
+
+namespace figreach {
+
+struct request_plane_settings {
+    host_id self;
+    std::string caller_address;
+    std::string forward_address;
+    std::uint32_t threads = 2;
+};
+
+/// The threads that serve callers and forwarding entry hosts.
+class request_plane {
+public:
+    /// The boards outlive the plane. Throws boost::system::system_error when it cannot listen.
+    request_plane(const request_plane_settings& settings, const route_board& routes,
+                  const link_board& links);
+    ~request_plane();
+    request_plane(const request_plane&) = delete;
+    request_plane& operator=(const request_plane&) = delete;
+
+private:
+    class worker;
+
+    host_id self;
+    std::vector<std::unique_ptr<worker>> workers;
+    std::vector<std::thread> duties;
+};
+
+} // namespace figreach
--- /dev/null
+++ b/include/figreach/runtime/server_caller.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <memory>
+#include <thread>
+
+#include "figreach/control.h"
+#include "figreach/runtime/ring.h"
+
+namespace figreach {
+
+/// The thread that sends grants to backend servers over HTTP and returns their answers.
+class server_caller {
+public:
+    /// `inbox` outlives the caller.
+    explicit server_caller(ring<control_event>& inbox);
+    ~server_caller();
+    server_caller(const server_caller&) = delete;
+    server_caller& operator=(const server_caller&) = delete;
+
+    /// Called by the control thread only.
+    bool call(call_server what);
+
+private:
+    class connections;
+
+    std::unique_ptr<connections> state;
+    std::thread duty;
+};
+
+} // namespace figreach
--- /dev/null
+++ b/include/figreach/toml_reader.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <toml++/toml.h>
+
+#include "figreach/fault.h"
+#include "figreach/time.h"
+
+namespace figreach {
+
+/// Reads one TOML table, collects every fault, and reports the keys that nobody asked for.
+class toml_reader {
+public:
+    /// `path` is the dotted path of the table, used in faults. `faults` must outlive the reader.
+    toml_reader(const toml::table& table, std::string path, std::string file, fault_list& faults);
+
+    [[nodiscard]] std::string text(std::string_view key);
+    [[nodiscard]] std::string text_or(std::string_view key, std::string_view fallback);
+    [[nodiscard]] std::vector<std::string> texts_or(std::string_view key,
+                                                    std::vector<std::string> fallback);
+    [[nodiscard]] std::int64_t number_or(std::string_view key, std::int64_t fallback,
+                                         std::int64_t least, std::int64_t most);
+    [[nodiscard]] milliseconds time_or(std::string_view key, milliseconds fallback,
+                                       milliseconds least, milliseconds most);
+    [[nodiscard]] bool flag_or(std::string_view key, bool fallback);
+    /// One of the given words; `fallback` (may be empty: required) when the key is absent.
+    [[nodiscard]] std::string word_or(std::string_view key, std::string_view fallback,
+                                      const std::vector<std::string>& allowed);
+    /// IP number and port; a fault when it is anything else.
+    [[nodiscard]] std::string address(std::string_view key);
+    [[nodiscard]] std::string address_or(std::string_view key, std::string_view fallback);
+    /// Readers of the tables in an array of tables; empty when the key is absent.
+    [[nodiscard]] std::vector<toml_reader> tables(std::string_view key);
+
+    void add_fault(std::string_view key, std::string found, std::string allowed);
+    /// Reports each key of the table that was not read.
+    void reject_unknown_keys();
+
+private:
+    const toml::node* find(std::string_view key);
+    [[nodiscard]] unsigned line_of(std::string_view key) const;
+
+    const toml::table* table;
+    std::string path;
+    std::string file;
+    fault_list* faults;
+    std::vector<std::string> known;
+};
+
+/// Whether a text is an IPv4 or bracketed IPv6 number with a port from 1 to 65535.
+[[nodiscard]] bool is_address(std::string_view text);
+
+} // namespace figreach
--- /dev/null
+++ b/src/peer_codec.cpp
@@ -0,0 +1,285 @@
+#include "figreach/peer_codec.h"
+
+#include <limits>
+#include <type_traits>
+
+#include "peer.pb.h"
+
+namespace figreach {
+
+namespace {
+
+namespace wire = peer::v1;
+
+constexpr double milli = 1000.0;
+
+void fill(wire::HostState& out, const host_state& in)
+{
+    out.set_host(in.host.value);
+    out.set_incarnation(in.incarnation);
+    out.set_state(static_cast<std::uint32_t>(in.state));
+    out.set_failure_domain(in.failure_domain.value);
+    out.set_peer_address(in.peer_address);
+    out.set_forward_address(in.forward_address);
+    out.set_description_version(in.description_version);
+}
+
+/// Values that this version does not know are taken as the worst it knows.
+template <class Enum>
+Enum bounded(std::uint32_t value, Enum worst)
+{
+    const auto most = static_cast<std::uint32_t>(worst);
+    return value > most ? worst : static_cast<Enum>(value);
+}
+
+host_state to_host(const wire::HostState& in)
+{
+    return {.host = {in.host()},
+            .incarnation = in.incarnation(),
+            .state = bounded(in.state(), host_liveness::dead),
+            .failure_domain = {in.failure_domain()},
+            .peer_address = in.peer_address(),
+            .forward_address = in.forward_address(),
+            .description_version = in.description_version()};
+}
+
+void fill(wire::PartitionVersion& out, const partition_version& in)
+{
+    out.set_service(in.id.service.value);
+    out.set_number(in.id.number);
+    out.set_version(in.version);
+}
+
+partition_version to_version(const wire::PartitionVersion& in)
+{
+    return {.id = {.service = {in.service()}, .number = in.number()}, .version = in.version()};
+}
+
+/// Probe and ProbeAnswer carry the same news in fields of the same names.
+template <class Message>
+void fill_news(Message& out, const gossip& in)
+{
+    out.set_description_version(in.description_version);
+    for (const auto& one : in.hosts) {
+        fill(*out.add_hosts(), one);
+    }
+    for (const auto& one : in.partitions) {
+        fill(*out.add_partitions(), one);
+    }
+    for (const auto& one : in.coordinators) {
+        auto* item = out.add_coordinators();
+        item->set_backend_server(one.server.value);
+        item->set_host(one.host.value);
+        item->set_term(one.term);
+    }
+}
+
+template <class Message>
+gossip to_news(const Message& in)
+{
+    gossip out;
+    out.description_version = in.description_version();
+    for (const auto& one : in.hosts()) {
+        out.hosts.push_back(to_host(one));
+    }
+    for (const auto& one : in.partitions()) {
+        out.partitions.push_back(to_version(one));
+    }
+    for (const auto& one : in.coordinators()) {
+        out.coordinators.push_back(
+            {.server = {one.backend_server()}, .host = {one.host()}, .term = one.term()});
+    }
+    return out;
+}
+
+void fill_body(wire::Envelope& out, const probe& in)
+{
+    auto& body = *out.mutable_probe();
+    body.set_sequence(in.sequence);
+    body.set_on_behalf_of(in.on_behalf_of.value);
+    body.set_target(in.target.value);
+    fill_news(body, in.news);
+}
+
+void fill_body(wire::Envelope& out, const probe_answer& in)
+{
+    auto& body = *out.mutable_probe_answer();
+    body.set_sequence(in.sequence);
+    fill_news(body, in.news);
+}
+
+/// ConfirmRequest and ConfirmAnswer share sequence, partition and servers.
+template <class Message, class Body>
+void fill_confirm(Message& out, const Body& in)
+{
+    out.set_sequence(in.sequence);
+    out.set_service(in.known.id.service.value);
+    out.set_number(in.known.id.number);
+    for (const auto& server : in.servers) {
+        out.add_backend_servers(server.value);
+    }
+}
+
+void fill_body(wire::Envelope& out, const confirm_request& in)
+{
+    auto& body = *out.mutable_confirm_request();
+    fill_confirm(body, in);
+    body.set_version(in.known.version);
+}
+
+void fill_body(wire::Envelope& out, const confirm_answer& in)
+{
+    auto& body = *out.mutable_confirm_answer();
+    fill_confirm(body, in);
+    body.set_known_version(in.known.version);
+    body.set_recovering(in.recovering);
+}
+
+void fill_body(wire::Envelope& out, const document_request& in)
+{
+    auto& body = *out.mutable_document_request();
+    body.set_service(in.above.id.service.value);
+    body.set_number(in.above.id.number);
+    body.set_above_version(in.above.version);
+    body.set_description(in.description);
+}
+
+void fill_body(wire::Envelope& out, const document_offer& in)
+{
+    auto& body = *out.mutable_document_offer();
+    body.set_partition(in.partition);
+    body.set_description(in.description);
+}
+
+void fill_body(wire::Envelope& out, const load_report& in)
+{
+    auto& body = *out.mutable_load_report();
+    body.set_service(in.id.service.value);
+    body.set_number(in.id.number);
+    body.set_backend_server(in.server.value);
+    body.set_state(static_cast<std::uint32_t>(in.condition));
+    body.set_incarnation(in.incarnation);
+    for (const auto& one : in.slices) {
+        auto* item = body.add_slices();
+        item->set_first(one.first);
+        item->set_requests_per_second_milli(
+            static_cast<std::uint64_t>(one.requests_per_second * milli));
+    }
+}
+
+void fill_body(wire::Envelope& out, const move_request& in)
+{
+    auto& body = *out.mutable_move_request();
+    body.set_service(in.known.id.service.value);
+    body.set_number(in.known.id.number);
+    body.set_version(in.known.version);
+    body.set_first(in.first);
+    body.set_from(in.from.value);
+    body.set_to(in.to.value);
+    body.set_fence(in.fence);
+}
+
+partition_id id_of(const auto& in)
+{
+    return {.service = {in.service()}, .number = in.number()};
+}
+
+std::vector<backend_server_id> servers_of(const auto& in)
+{
+    std::vector<backend_server_id> out;
+    for (const auto& name : in.backend_servers()) {
+        out.push_back({name});
+    }
+    return out;
+}
+
+load_report to_load_report(const wire::LoadReport& in)
+{
+    load_report out{.id = id_of(in),
+                    .server = {in.backend_server()},
+                    .condition = bounded(in.state(), server_condition::lost),
+                    .incarnation = in.incarnation(),
+                    .slices = {}};
+    for (const auto& one : in.slices()) {
+        const auto rate = static_cast<double>(one.requests_per_second_milli()) / milli;
+        out.slices.push_back({.first = one.first(), .requests_per_second = rate});
+    }
+    return out;
+}
+
+std::optional<peer_body> to_body(const wire::Envelope& in)
+{
+    switch (in.body_case()) {
+    case wire::Envelope::kProbe:
+        return probe{.sequence = in.probe().sequence(),
+                     .on_behalf_of = {in.probe().on_behalf_of()},
+                     .target = {in.probe().target()},
+                     .news = to_news(in.probe())};
+    case wire::Envelope::kProbeAnswer:
+        return probe_answer{.sequence = in.probe_answer().sequence(),
+                            .news = to_news(in.probe_answer())};
+    case wire::Envelope::kConfirmRequest: {
+        const auto& body = in.confirm_request();
+        return confirm_request{.sequence = body.sequence(),
+                               .known = {.id = id_of(body), .version = body.version()},
+                               .servers = servers_of(body)};
+    }
+    case wire::Envelope::kConfirmAnswer: {
+        const auto& body = in.confirm_answer();
+        return confirm_answer{.sequence = body.sequence(),
+                              .known = {.id = id_of(body), .version = body.known_version()},
+                              .servers = servers_of(body),
+                              .recovering = body.recovering()};
+    }
+    case wire::Envelope::kDocumentRequest: {
+        const auto& body = in.document_request();
+        return document_request{.above = {.id = id_of(body), .version = body.above_version()},
+                                .description = body.description()};
+    }
+    case wire::Envelope::kDocumentOffer:
+        return document_offer{.partition = in.document_offer().partition(),
+                              .description = in.document_offer().description()};
+    case wire::Envelope::kLoadReport:
+        return to_load_report(in.load_report());
+    case wire::Envelope::kMoveRequest: {
+        const auto& body = in.move_request();
+        return move_request{.known = {.id = id_of(body), .version = body.version()},
+                            .first = body.first(),
+                            .fence = body.fence(),
+                            .from = {body.from()},
+                            .to = {body.to()}};
+    }
+    case wire::Envelope::BODY_NOT_SET:
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string encode(const peer_message& message)
+{
+    wire::Envelope out;
+    out.set_sender(message.sender.value);
+    out.set_incarnation(message.incarnation);
+    std::visit([&out](const auto& body) { fill_body(out, body); }, message.body);
+    return out.SerializeAsString();
+}
+
+std::optional<peer_message> decode_peer_message(std::string_view bytes)
+{
+    constexpr std::size_t most_bytes = std::numeric_limits<int>::max();
+    wire::Envelope in;
+    if (bytes.size() > most_bytes ||
+        !in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return std::nullopt;
+    }
+    auto body = to_body(in);
+    if (!body || in.sender().empty()) {
+        return std::nullopt;
+    }
+    return peer_message{
+        .sender = {in.sender()}, .incarnation = in.incarnation(), .body = std::move(*body)};
+}
+
+} // namespace figreach
--- /dev/null
+++ b/src/programs/figreach-standin/main.cpp
@@ -0,0 +1,81 @@
+// Stand-ins for the platform's store and for backend servers.
+
+#include <csignal>
+#include <iostream>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+
+#include "backend.h"
+#include "store.h"
+
+namespace options = boost::program_options;
+namespace standin = figreach::standin;
+
+namespace {
+
+constexpr int exit_ok = 0;
+constexpr int exit_failed = 1;
+constexpr int exit_usage = 2;
+
+options::options_description described_options()
+{
+    options::options_description out{"figreach-standin store|backend [options]\n\nOptions"};
+    auto add = out.add_options();
+    add("help", "print this text");
+    add("what", options::value<std::string>(), "store or backend");
+    add("address", options::value<std::string>(), "IP number and port to listen at");
+    add("name", options::value<std::string>()->default_value("backend"), "name of the backend");
+    add("service-time-ms", options::value<int>()->default_value(2), "time of one request");
+    add("unfenced", "the backend does not check fences");
+    return out;
+}
+
+int run(const options::variables_map& given)
+{
+    boost::asio::io_context io;
+    boost::asio::signal_set signals{io, SIGTERM, SIGINT};
+    signals.async_wait([&io](const boost::system::error_code&, int) { io.stop(); });
+    const auto address = given["address"].as<std::string>();
+    if (given["what"].as<std::string>() == "store") {
+        standin::store store{address};
+        io.run();
+        return exit_ok;
+    }
+    standin::run_backend(
+        io, {.name = given["name"].as<std::string>(),
+             .address = address,
+             .checks_fences = !given.contains("unfenced"),
+             .service_time = figreach::milliseconds{given["service-time-ms"].as<int>()}});
+    return exit_ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        options::positional_options_description positions;
+        positions.add("what", 1);
+        options::variables_map given;
+        options::store(options::command_line_parser(argc, argv)
+                           .options(described_options())
+                           .positional(positions)
+                           .run(),
+                       given);
+        if (given.contains("help") || !given.contains("what") || !given.contains("address")) {
+            std::cout << described_options();
+            return given.contains("help") ? exit_ok : exit_usage;
+        }
+        return run(given);
+    }
+    catch (const options::error& error) {
+        std::cerr << "figreach-standin: " << error.what() << '\n';
+        return exit_usage;
+    }
+    catch (const std::exception& error) {
+        std::cerr << "figreach-standin: " << error.what() << '\n';
+        return exit_failed;
+    }
+}
--- /dev/null
+++ b/src/programs/figreachd/main.cpp
@@ -0,0 +1,116 @@
+// The entry host daemon: checks its settings whole, then serves until SIGTERM or SIGINT.
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+
+#include "figreach/host_settings.h"
+#include "figreach/rpc/entry_host.h"
+#include "figreach/rpc/operator_server.h"
+#include "figreach/runtime/log.h"
+
+namespace options = boost::program_options;
+
+namespace {
+
+constexpr int exit_ok = 0;
+constexpr int exit_failed = 1;
+constexpr int exit_bad_settings = 2;
+
+struct command_line {
+    std::string settings_file;
+    bool check_only = false;
+    bool help = false;
+};
+
+options::options_description described_options()
+{
+    options::options_description out{"figreachd SETTINGS.toml\n\nOptions"};
+    auto add = out.add_options();
+    add("help", "print this text");
+    add("check", "check the settings and stop");
+    add("settings", options::value<std::string>(), "settings file in TOML");
+    return out;
+}
+
+command_line parse_command_line(int argc, char** argv)
+{
+    options::positional_options_description positions;
+    positions.add("settings", 1);
+    options::variables_map given;
+    options::store(options::command_line_parser(argc, argv)
+                       .options(described_options())
+                       .positional(positions)
+                       .run(),
+                   given);
+    command_line out;
+    out.help = given.contains("help");
+    out.check_only = given.contains("check");
+    if (given.contains("settings")) {
+        out.settings_file = given["settings"].as<std::string>();
+    }
+    return out;
+}
+
+void wait_for_stop_signal()
+{
+    boost::asio::io_context io;
+    boost::asio::signal_set signals{io, SIGTERM, SIGINT};
+    signals.async_wait([](const boost::system::error_code&, int) {});
+    io.run();
+}
+
+int serve(const figreach::host_settings& settings)
+{
+    figreach::start_log(settings.log_level, settings.log_file);
+    figreach::entry_host host{settings};
+    figreach::operator_server operators{settings.operator_address, settings.store_address};
+    figreach::log_change(figreach::log_level::info, "started", {{"host", settings.name.value}});
+    wait_for_stop_signal();
+    figreach::log_change(figreach::log_level::info, "stopping", {{"host", settings.name.value}});
+    return exit_ok;
+}
+
+int run(const command_line& given)
+{
+    std::ifstream in{given.settings_file};
+    if (!in) {
+        std::cerr << given.settings_file << ": cannot be read\n";
+        return exit_bad_settings;
+    }
+    std::ostringstream text;
+    text << in.rdbuf();
+    const auto parsed = figreach::parse_host_settings(text.str(), given.settings_file);
+    if (!parsed.faults.empty()) {
+        std::cerr << figreach::to_text(parsed.faults);
+        return exit_bad_settings;
+    }
+    return given.check_only ? exit_ok : serve(parsed.value);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        const auto given = parse_command_line(argc, argv);
+        if (given.help || given.settings_file.empty()) {
+            std::cout << described_options();
+            return given.help ? exit_ok : exit_bad_settings;
+        }
+        return run(given);
+    }
+    catch (const options::error& error) {
+        std::cerr << "figreachd: " << error.what() << '\n';
+        return exit_bad_settings;
+    }
+    catch (const std::exception& error) {
+        std::cerr << "figreachd: " << error.what() << '\n';
+        return exit_failed;
+    }
+}
--- /dev/null
+++ b/src/runtime/connection_pool.cpp
@@ -0,0 +1,79 @@
+#include "figreach/runtime/connection_pool.h"
+
+#include <charconv>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace figreach {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+/// An idle connection must have nothing to read: neither an end nor stray bytes.
+bool is_quiet(tcp::socket& socket)
+{
+    char byte = 0;
+    boost::system::error_code failed;
+    socket.non_blocking(true, failed);
+    if (failed) {
+        return false;
+    }
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, failed);
+    return failed == asio::error::would_block;
+}
+
+} // namespace
+
+tcp::endpoint to_endpoint(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    auto host = text.substr(0, colon);
+    if (host.starts_with('[')) {
+        host = host.substr(1, host.size() - 2);
+    }
+    std::uint16_t port = 0;
+    std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+    return {asio::ip::make_address(host), port};
+}
+
+connection_pool::connection_pool(asio::io_context& io_, std::size_t most_idle_)
+    : io{io_}, most_idle{most_idle_}
+{
+}
+
+asio::awaitable<std::unique_ptr<upstream_connection>>
+connection_pool::take(const std::string& address, monotonic_time deadline)
+{
+    auto& waiting = this->idle[address];
+    while (!waiting.empty()) {
+        auto connection = std::move(waiting.back());
+        waiting.pop_back();
+        if (is_quiet(connection->stream.socket())) {
+            connection->reused = true;
+            co_return connection;
+        }
+    }
+    auto fresh = std::make_unique<upstream_connection>(
+        upstream_connection{.stream = boost::beast::tcp_stream{this->io}, .buffer = {}});
+    fresh->stream.expires_at(deadline);
+    const auto endpoint = to_endpoint(address);
+    co_await fresh->stream.async_connect(endpoint, asio::use_awaitable);
+    fresh->stream.socket().set_option(tcp::no_delay{true});
+    co_return fresh;
+}
+
+void connection_pool::give_back(const std::string& address,
+                                std::unique_ptr<upstream_connection> connection)
+{
+    auto& waiting = this->idle[address];
+    if (waiting.size() < this->most_idle) {
+        connection->stream.expires_never();
+        waiting.push_back(std::move(connection));
+    }
+}
+
+} // namespace figreach
--- /dev/null
+++ b/src/runtime/link_board.cpp
@@ -0,0 +1,25 @@
+#include "figreach/runtime/link_board.h"
+
+#include <mutex>
+
+namespace figreach {
+
+void link_board::update(const routing_snapshot& snapshot)
+{
+    const std::unique_lock lock{this->guard};
+    for (const auto& server : snapshot.shared->backend_servers) {
+        auto& link = this->links[server.name];
+        if (!link) {
+            link = std::make_shared<server_link>(gate_settings{.slots = server.slots});
+        }
+    }
+}
+
+std::shared_ptr<server_link> link_board::find(const backend_server_id& name) const
+{
+    const std::shared_lock lock{this->guard};
+    const auto found = this->links.find(name);
+    return found == this->links.end() ? nullptr : found->second;
+}
+
+} // namespace figreach
--- /dev/null
+++ b/src/runtime/relay.cpp
@@ -0,0 +1,357 @@
+#include "figreach/runtime/relay.h"
+
+#include <array>
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json.hpp>
+
+#include "figreach/request_head.h"
+
+namespace figreach {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr std::size_t chunk_bytes = 64 * 1024;
+constexpr std::uint64_t most_buffered_answer_bytes = 64 * 1024;
+constexpr std::size_t most_answer_header_bytes = 64 * 1024;
+constexpr unsigned http_1_1 = 11;
+
+using answer_parser = http::response_parser<http::buffer_body>;
+
+constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+
+bool is_expected(const beast::error_code& failed)
+{
+    return !failed || failed == http::error::need_buffer;
+}
+
+/// Reads the caller's body and writes it upstream, one chunk at a time.
+asio::awaitable<relay_ending> relay_body(caller_side caller, upstream_connection& upstream,
+                                         http::request_serializer<http::buffer_body>& writer,
+                                         http::request<http::buffer_body>& request)
+{
+    std::array<char, chunk_bytes> chunk{};
+    while (!writer.is_done()) {
+        if (!caller.parser.is_done()) {
+            caller.parser.get().body().data = chunk.data();
+            caller.parser.get().body().size = chunk.size();
+            const auto [failed, count] =
+                co_await http::async_read(caller.stream, caller.buffer, caller.parser, no_throw);
+            if (!is_expected(failed)) {
+                co_return relay_ending::caller_gone;
+            }
+            request.body().data = chunk.data();
+            request.body().size = chunk.size() - caller.parser.get().body().size;
+            request.body().more = !caller.parser.is_done();
+        }
+        else {
+            request.body().data = nullptr;
+            request.body().size = 0;
+            request.body().more = false;
+        }
+        const auto [failed, count] = co_await http::async_write(upstream.stream, writer, no_throw);
+        if (!is_expected(failed)) {
+            co_return relay_ending::lost;
+        }
+    }
+    co_return relay_ending::answered;
+}
+
+asio::awaitable<relay_ending> send_request(caller_side caller, upstream_connection& upstream,
+                                           const http::fields& fields)
+{
+    const auto& from = caller.parser.get();
+    if (caller.parser.is_done()) {
+        http::request<http::empty_body> request{from.method(), from.target(), http_1_1};
+        static_cast<http::fields&>(request) = fields;
+        request.method_string(from.method_string());
+        request.target(from.target());
+        if (from.find(http::field::content_length) != from.end()) {
+            request.content_length(0);
+        }
+        const auto [failed, count] = co_await http::async_write(upstream.stream, request, no_throw);
+        co_return failed ? relay_ending::lost : relay_ending::answered;
+    }
+    http::request<http::buffer_body> request;
+    static_cast<http::fields&>(request) = fields;
+    request.version(http_1_1);
+    request.method_string(from.method_string());
+    request.target(from.target());
+    request.body().more = true;
+    if (const auto length = caller.parser.content_length()) {
+        request.content_length(*length);
+    }
+    else {
+        request.chunked(true);
+    }
+    http::request_serializer<http::buffer_body> writer{request};
+    const auto [failed, count] =
+        co_await http::async_write_header(upstream.stream, writer, no_throw);
+    if (failed) {
+        co_return relay_ending::lost;
+    }
+    co_return co_await relay_body(caller, upstream, writer, request);
+}
+
+/// Reads the rest of a short answer, so that it is passed on whole or not at all.
+asio::awaitable<bool> read_short_body(upstream_connection& upstream, answer_parser& answer,
+                                      std::string& body)
+{
+    body.resize(answer.content_length().value_or(0));
+    std::size_t filled = 0;
+    while (!answer.is_done()) {
+        answer.get().body().data = body.data() + filled;
+        answer.get().body().size = body.size() - filled;
+        const auto [failed, count] =
+            co_await http::async_read(upstream.stream, upstream.buffer, answer, no_throw);
+        filled = body.size() - answer.get().body().size;
+        if (!is_expected(failed)) {
+            co_return false;
+        }
+    }
+    co_return filled == body.size();
+}
+
+asio::awaitable<relay_ending> pass_short_answer(caller_side caller, answer_parser& answer,
+                                                std::string body, bool keep_caller)
+{
+    http::response<http::string_body> out;
+    static_cast<http::fields&>(out) = end_to_end(answer.get());
+    out.version(http_1_1);
+    out.result(answer.get().result_int());
+    out.reason(answer.get().reason());
+    out.keep_alive(keep_caller);
+    out.body() = std::move(body);
+    if (answer.get().result_int() != static_cast<unsigned>(http::status::no_content)) {
+        out.content_length(out.body().size());
+    }
+    const auto [failed, count] = co_await http::async_write(caller.stream, out, no_throw);
+    co_return failed ? relay_ending::caller_gone : relay_ending::answered;
+}
+
+/// Passes on the head of an answer to HEAD or one without a body, its length field kept.
+asio::awaitable<relay_ending> pass_bodiless_answer(caller_side caller, answer_parser& answer,
+                                                   bool keep_caller)
+{
+    http::response<http::empty_body> out;
+    static_cast<http::fields&>(out) = end_to_end(answer.get());
+    const auto length = answer.get().find(http::field::content_length);
+    if (length != answer.get().end()) {
+        out.set(http::field::content_length, length->value());
+    }
+    out.version(http_1_1);
+    out.result(answer.get().result_int());
+    out.keep_alive(keep_caller);
+    http::response_serializer<http::empty_body> writer{out};
+    const auto [failed, count] = co_await http::async_write_header(caller.stream, writer, no_throw);
+    co_return failed ? relay_ending::caller_gone : relay_ending::answered;
+}
+
+/// Passes on an answer of any length, one chunk at a time.
+asio::awaitable<relay_ending> stream_answer(caller_side caller, upstream_connection& upstream,
+                                            answer_parser& answer, bool keep_caller)
+{
+    http::response<http::buffer_body> out;
+    static_cast<http::fields&>(out) = end_to_end(answer.get());
+    out.version(http_1_1);
+    out.result(answer.get().result_int());
+    out.keep_alive(keep_caller);
+    if (const auto length = answer.content_length()) {
+        out.content_length(*length);
+    }
+    else {
+        out.chunked(true);
+    }
+    out.body().data = nullptr;
+    out.body().more = true;
+    http::response_serializer<http::buffer_body> writer{out};
+    const auto [head_failed, head_count] =
+        co_await http::async_write_header(caller.stream, writer, no_throw);
+    if (head_failed) {
+        co_return relay_ending::caller_gone;
+    }
+    std::array<char, chunk_bytes> chunk{};
+    while (!writer.is_done()) {
+        out.body().data = nullptr;
+        out.body().size = 0;
+        if (!answer.is_done()) {
+            answer.get().body().data = chunk.data();
+            answer.get().body().size = chunk.size();
+            const auto [failed, count] =
+                co_await http::async_read(upstream.stream, upstream.buffer, answer, no_throw);
+            if (!is_expected(failed)) {
+                co_return relay_ending::cut_short;
+            }
+            out.body().data = chunk.data();
+            out.body().size = chunk.size() - answer.get().body().size;
+        }
+        out.body().more = !answer.is_done();
+        const auto [failed, count] = co_await http::async_write(caller.stream, writer, no_throw);
+        if (!is_expected(failed)) {
+            co_return relay_ending::caller_gone;
+        }
+    }
+    co_return relay_ending::answered;
+}
+
+asio::awaitable<relay_ending> pass_answer(caller_side caller, upstream_connection& upstream,
+                                          answer_parser& answer, bool keep_caller)
+{
+    if (answer.is_done()) {
+        co_return co_await pass_bodiless_answer(caller, answer, keep_caller);
+    }
+    const auto length = answer.content_length();
+    if (length && *length <= most_buffered_answer_bytes) {
+        std::string body;
+        if (!co_await read_short_body(upstream, answer, body)) {
+            co_return relay_ending::lost;
+        }
+        co_return co_await pass_short_answer(caller, answer, std::move(body), keep_caller);
+    }
+    co_return co_await stream_answer(caller, upstream, answer, keep_caller);
+}
+
+milliseconds retry_after_of(const http::fields& answer)
+{
+    const auto text = answer[http::field::retry_after];
+    std::int64_t count = 0;
+    std::from_chars(text.data(), text.data() + text.size(), count);
+    return seconds{count};
+}
+
+/// Takes an answer in which the upstream says that it did not run the request.
+asio::awaitable<bool> take_refusal(upstream_connection& upstream, answer_parser& answer,
+                                   relay_result& result)
+{
+    const auto& head = answer.get();
+    const auto length = answer.content_length();
+    const bool says_not_run = head[field::outcome] == name_of(run_state::not_run);
+    if (!says_not_run || (!answer.is_done() && length.value_or(chunk_bytes + 1) > chunk_bytes)) {
+        co_return false;
+    }
+    result.ending = relay_ending::refused;
+    result.status = head.result_int();
+    result.retry_after = retry_after_of(head);
+    result.refused_as = std::string{head[field::error]};
+    std::string body;
+    const bool whole = answer.is_done() || co_await read_short_body(upstream, answer, body);
+    result.keep_upstream = whole && answer.get().keep_alive();
+    co_return true;
+}
+
+relay_ending ending_after_send(monotonic_time deadline)
+{
+    const bool late = monotonic_time::clock::now() >= deadline;
+    return late ? relay_ending::late : relay_ending::lost;
+}
+
+std::string refusal_body(const error_answer& row, milliseconds retry_after)
+{
+    boost::json::object body{
+        {"error", row.name}, {"ran", name_of(row.ran)}, {"remedy", row.remedy}};
+    if (row.may_come_back) {
+        body["retry_after_ms"] = retry_after.count();
+    }
+    return boost::json::serialize(body);
+}
+
+} // namespace
+
+http::fields end_to_end(const http::fields& all)
+{
+    constexpr auto per_connection = std::to_array<http::field>(
+        {http::field::connection, http::field::keep_alive, http::field::proxy_authenticate,
+         http::field::proxy_authorization, http::field::proxy_connection, http::field::te,
+         http::field::trailer, http::field::transfer_encoding, http::field::upgrade,
+         http::field::content_length, http::field::expect});
+    http::fields out = all;
+    for (const auto name : per_connection) {
+        out.erase(name);
+    }
+    return out;
+}
+
+asio::awaitable<relay_result> relay(caller_side caller, upstream_connection& upstream,
+                                    http::fields fields, monotonic_time deadline,
+                                    std::function<bool()> may_send)
+{
+    relay_result result;
+    upstream.stream.expires_at(deadline);
+    caller.stream.expires_at(deadline);
+    if (!may_send()) {
+        result.ending = relay_ending::not_sent;
+        result.keep_caller = caller.parser.is_done() && caller.parser.get().keep_alive();
+        result.keep_upstream = true;
+        co_return result;
+    }
+    const auto sent = co_await send_request(caller, upstream, fields);
+    if (sent == relay_ending::caller_gone) {
+        result.ending = sent;
+        co_return result;
+    }
+    // An upstream may answer before it has read the whole request, and close.
+    answer_parser answer;
+    answer.body_limit(boost::none);
+    answer.header_limit(most_answer_header_bytes);
+    answer.skip(caller.parser.get().method() == http::verb::head);
+    const auto [failed, count] =
+        co_await http::async_read_header(upstream.stream, upstream.buffer, answer, no_throw);
+    result.keep_caller = caller.parser.is_done() && caller.parser.get().keep_alive();
+    if (failed) {
+        result.ending = ending_after_send(deadline);
+        co_return result;
+    }
+    if (co_await take_refusal(upstream, answer, result)) {
+        co_return result;
+    }
+    result.status = answer.get().result_int();
+    const bool upstream_keeps = answer.get().keep_alive() && sent == relay_ending::answered;
+    result.ending = co_await pass_answer(caller, upstream, answer, result.keep_caller);
+    if (result.ending == relay_ending::lost) {
+        result.ending = ending_after_send(deadline);
+    }
+    result.keep_upstream = upstream_keeps && result.ending == relay_ending::answered;
+    co_return result;
+}
+
+asio::awaitable<bool> refuse(caller_side caller, error_kind kind, milliseconds retry_after)
+{
+    constexpr milliseconds answer_limit{5000};
+    const auto& row = answer_of(kind);
+    if (row.http_status == 0) {
+        co_return false;
+    }
+    const bool keep = caller.parser.is_done() && caller.parser.get().keep_alive();
+    http::response<http::string_body> out;
+    out.version(http_1_1);
+    out.result(row.http_status);
+    out.set(http::field::content_type, "application/json");
+    out.set(field::error, row.name);
+    out.set(field::outcome, name_of(row.ran));
+    if (row.may_come_back) {
+        const auto whole = std::chrono::ceil<seconds>(retry_after);
+        out.set(http::field::retry_after, std::to_string(whole.count()));
+    }
+    out.keep_alive(keep);
+    out.body() = refusal_body(row, retry_after);
+    out.prepare_payload();
+    caller.stream.expires_after(answer_limit);
+    const auto [failed, count] = co_await http::async_write(caller.stream, out, no_throw);
+    co_return keep && !failed;
+}
+
+} // namespace figreach
--- /dev/null
+++ b/src/runtime/route_board.cpp
@@ -0,0 +1,25 @@
+#include "figreach/runtime/route_board.h"
+
+#include <utility>
+
+namespace figreach {
+
+void route_board::publish(std::shared_ptr<const routing_snapshot> snapshot)
+{
+    const std::lock_guard lock{this->guard};
+    this->present = std::move(snapshot);
+    this->generation.fetch_add(1, std::memory_order_release);
+}
+
+void route_board::refresh(std::shared_ptr<const routing_snapshot>& cached,
+                          std::uint64_t& seen) const
+{
+    if (this->generation.load(std::memory_order_acquire) == seen) {
+        return;
+    }
+    const std::lock_guard lock{this->guard};
+    cached = this->present;
+    seen = this->generation.load(std::memory_order_relaxed);
+}
+
+} // namespace figreach
--- /dev/null
+++ b/src/runtime/server_caller.cpp
@@ -0,0 +1,106 @@
+#include "figreach/runtime/server_caller.h"
+
+#include <map>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "figreach/grant_codec.h"
+#include "figreach/runtime/connection_pool.h"
+
+namespace figreach {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t outbox_capacity = 4096;
+constexpr std::size_t most_idle_connections = 2;
+constexpr unsigned http_1_1 = 11;
+
+} // namespace
+
+class server_caller::connections {
+public:
+    explicit connections(ring<control_event>& inbox_) : inbox{inbox_} {}
+
+    void run() { this->io.run(); }
+    void stop() { this->io.stop(); }
+    bool call(call_server what) { return this->outbox.push(std::move(what)); }
+
+private:
+    void drain()
+    {
+        while (auto what = this->outbox.pop()) {
+            asio::co_spawn(this->io, this->carry_out(std::move(*what)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> carry_out(call_server what)
+    {
+        server_answered event{.server = what.server, .sequence = what.what.sequence, .answer = {}};
+        try {
+            event.answer = co_await this->exchange(what);
+        }
+        catch (const boost::system::system_error&) {
+            event.answer.reset();
+        }
+        this->inbox.push(std::move(event));
+    }
+
+    asio::awaitable<std::optional<grant_answer>> exchange(const call_server& what)
+    {
+        const auto deadline = monotonic_time::clock::now() + what.timeout;
+        auto connection = co_await this->pool.take(what.address, deadline);
+        connection->stream.expires_at(deadline);
+        http::request<http::string_body> request{http::verb::post, "/figreach/v1/grant", http_1_1};
+        request.set(http::field::host, what.address);
+        request.set(http::field::content_type, "application/json");
+        request.body() = to_json(what.what);
+        request.prepare_payload();
+        co_await http::async_write(connection->stream, request, asio::use_awaitable);
+        http::response<http::string_body> answer;
+        co_await http::async_read(connection->stream, connection->buffer, answer,
+                                  asio::use_awaitable);
+        auto parsed = parse_grant_answer(answer.body());
+        if (answer.keep_alive()) {
+            this->pool.give_back(what.address, std::move(connection));
+        }
+        co_return parsed;
+    }
+
+    ring<control_event>& inbox;
+    asio::io_context io{1};
+    asio::executor_work_guard<asio::io_context::executor_type> work{io.get_executor()};
+    connection_pool pool{io, most_idle_connections};
+    ring<call_server> outbox{outbox_capacity,
+                             [this] { asio::post(this->io, [this] { this->drain(); }); }};
+};
+
+server_caller::server_caller(ring<control_event>& inbox)
+    : state{std::make_unique<connections>(inbox)}, duty{[this] { this->state->run(); }}
+{
+}
+
+server_caller::~server_caller()
+{
+    this->state->stop();
+    this->duty.join();
+}
+
+bool server_caller::call(call_server what)
+{
+    return this->state->call(std::move(what));
+}
+
+} // namespace figreach
--- /dev/null
+++ b/src/toml_reader.cpp
@@ -0,0 +1,237 @@
+#include "figreach/toml_reader.h"
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+#include <utility>
+
+#include <boost/asio/ip/address.hpp>
+
+namespace figreach {
+
+namespace {
+
+std::string shown(const toml::node& node)
+{
+    std::ostringstream out;
+    out << toml::node_view<const toml::node>{node};
+    return out.str();
+}
+
+std::string joined(const std::vector<std::string>& words)
+{
+    std::string out;
+    for (const auto& word : words) {
+        out += out.empty() ? word : " | " + word;
+    }
+    return out;
+}
+
+constexpr auto address_form = "IP number and port, for example 127.0.0.1:9000 or [::1]:9000";
+
+} // namespace
+
+bool is_address(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return false;
+    }
+    auto host = text.substr(0, colon);
+    const auto port_text = text.substr(colon + 1);
+    const bool bracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
+    if (bracketed) {
+        host = host.substr(1, host.size() - 2);
+    }
+    unsigned port = 0;
+    const auto [end, port_error] =
+        std::from_chars(port_text.data(), port_text.data() + port_text.size(), port);
+    const bool whole = end == port_text.data() + port_text.size();
+    if (port_error != std::errc{} || !whole || port == 0 || port > 65535) {
+        return false;
+    }
+    boost::system::error_code failed;
+    const auto number = boost::asio::ip::make_address(std::string{host}, failed);
+    return !failed && number.is_v6() == bracketed;
+}
+
+toml_reader::toml_reader(const toml::table& table_, std::string path_, std::string file_,
+                         fault_list& faults_)
+    : table{&table_}, path{std::move(path_)}, file{std::move(file_)}, faults{&faults_}
+{
+}
+
+const toml::node* toml_reader::find(std::string_view key)
+{
+    this->known.emplace_back(key);
+    return this->table->get(key);
+}
+
+unsigned toml_reader::line_of(std::string_view key) const
+{
+    const auto* node = this->table->get(key);
+    const auto& source = node == nullptr ? this->table->source() : node->source();
+    return source.begin.line;
+}
+
+void toml_reader::add_fault(std::string_view key, std::string found, std::string allowed)
+{
+    const auto prefix = this->path.empty() ? std::string{} : this->path + ".";
+    this->faults->push_back({.file = this->file,
+                             .line = this->line_of(key),
+                             .key = prefix + std::string{key},
+                             .found = std::move(found),
+                             .allowed = std::move(allowed)});
+}
+
+std::string toml_reader::text(std::string_view key)
+{
+    const auto* node = this->find(key);
+    if (node == nullptr) {
+        this->add_fault(key, "nothing", "a text");
+        return {};
+    }
+    const auto value = node->value_exact<std::string>();
+    if (!value || value->empty()) {
+        this->add_fault(key, shown(*node), "a text that is not empty");
+        return {};
+    }
+    return *value;
+}
+
+std::string toml_reader::text_or(std::string_view key, std::string_view fallback)
+{
+    if (!this->table->contains(key)) {
+        this->known.emplace_back(key);
+        return std::string{fallback};
+    }
+    return this->text(key);
+}
+
+std::vector<std::string> toml_reader::texts_or(std::string_view key,
+                                               std::vector<std::string> fallback)
+{
+    const auto* node = this->find(key);
+    if (node == nullptr) {
+        return fallback;
+    }
+    const auto* array = node->as_array();
+    if (array == nullptr || !array->is_homogeneous(toml::node_type::string)) {
+        this->add_fault(key, shown(*node), "a list of texts");
+        return fallback;
+    }
+    std::vector<std::string> texts;
+    for (const auto& item : *array) {
+        texts.push_back(item.value_or(std::string{}));
+    }
+    return texts;
+}
+
+std::int64_t toml_reader::number_or(std::string_view key, std::int64_t fallback, std::int64_t least,
+                                    std::int64_t most)
+{
+    const auto* node = this->find(key);
+    if (node == nullptr) {
+        return fallback;
+    }
+    const auto value = node->value_exact<std::int64_t>();
+    if (!value || *value < least || *value > most) {
+        this->add_fault(key, shown(*node),
+                        "a whole number from " + std::to_string(least) + " to " +
+                            std::to_string(most));
+        return fallback;
+    }
+    return *value;
+}
+
+milliseconds toml_reader::time_or(std::string_view key, milliseconds fallback, milliseconds least,
+                                  milliseconds most)
+{
+    return milliseconds{this->number_or(key, fallback.count(), least.count(), most.count())};
+}
+
+bool toml_reader::flag_or(std::string_view key, bool fallback)
+{
+    const auto* node = this->find(key);
+    if (node == nullptr) {
+        return fallback;
+    }
+    const auto value = node->value_exact<bool>();
+    if (!value) {
+        this->add_fault(key, shown(*node), "true | false");
+        return fallback;
+    }
+    return *value;
+}
+
+std::string toml_reader::word_or(std::string_view key, std::string_view fallback,
+                                 const std::vector<std::string>& allowed)
+{
+    const auto* node = this->find(key);
+    if (node == nullptr) {
+        if (fallback.empty()) {
+            this->add_fault(key, "nothing", joined(allowed));
+        }
+        return std::string{fallback};
+    }
+    const auto value = node->value_exact<std::string>();
+    if (!value || std::ranges::find(allowed, *value) == allowed.end()) {
+        this->add_fault(key, shown(*node), joined(allowed));
+        return std::string{fallback};
+    }
+    return *value;
+}
+
+std::string toml_reader::address(std::string_view key)
+{
+    const auto before = this->faults->size();
+    auto value = this->text(key);
+    if (this->faults->size() == before && !is_address(value)) {
+        this->add_fault(key, "'" + value + "'", address_form);
+    }
+    return value;
+}
+
+std::string toml_reader::address_or(std::string_view key, std::string_view fallback)
+{
+    if (!this->table->contains(key)) {
+        this->known.emplace_back(key);
+        return std::string{fallback};
+    }
+    return this->address(key);
+}
+
+std::vector<toml_reader> toml_reader::tables(std::string_view key)
+{
+    const auto* node = this->find(key);
+    if (node == nullptr) {
+        return {};
+    }
+    const auto* array = node->as_array();
+    if (array == nullptr || !array->is_homogeneous(toml::node_type::table)) {
+        this->add_fault(key, shown(*node), "a list of tables");
+        return {};
+    }
+    std::vector<toml_reader> readers;
+    std::size_t index = 0;
+    for (const auto& item : *array) {
+        const auto prefix = this->path.empty() ? std::string{} : this->path + ".";
+        readers.emplace_back(*item.as_table(),
+                             prefix + std::string{key} + "[" + std::to_string(index) + "]",
+                             this->file, *this->faults);
+        ++index;
+    }
+    return readers;
+}
+
+void toml_reader::reject_unknown_keys()
+{
+    for (const auto& [key, node] : *this->table) {
+        const bool asked_for = std::ranges::find(this->known, key.str()) != this->known.end();
+        if (!asked_for) {
+            this->add_fault(key.str(), "an unknown key", joined(this->known));
+        }
+    }
+}
+
+} // namespace figreach
