Fix the interfaces that ownership work divides on: moving slices, released, assigner

A move takes two writes: the first marks the slice as moving, so that nobody may be granted it; the second names the new owner once the old one has released it. A plan of one write was ruled out: a coordinator that lost its memory could grant the old owner again between release and write.

--- a/include/figreach/control.h
+++ b/include/figreach/control.h
@@ -75,6 +75,7 @@
     std::shared_ptr<const description> shared;
     std::map<partition_id, std::shared_ptr<const partition>> partitions;
     std::map<backend_server_id, server_route> servers;
+    std::vector<host_state> hosts; ///< entry hosts that live as far as is known
 };
 
 struct publish_routes {
--- a/include/figreach/partition.h
+++ b/include/figreach/partition.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,8 @@
     std::uint32_t owner = 0; ///< index into partition::backend_servers
     std::uint64_t fence = 0; ///< grows with each change of owner
     bool pinned = false;     ///< tied to its owner by an operator
+    /// Index of the next owner while the slice moves: nobody may be granted it meanwhile.
+    std::optional<std::uint32_t> moving_to;
 
     friend bool operator==(const slice&, const slice&) = default;
 };
--- a/include/figreach/peer_message.h
+++ b/include/figreach/peer_message.h
@@ -8,6 +8,7 @@
 #include "figreach/ids.h"
 #include "figreach/key_hash.h"
 #include "figreach/partition.h"
+#include "figreach/time.h"
 
 namespace figreach {
 
@@ -118,23 +119,31 @@
     server_condition condition = server_condition::serving;
     std::uint64_t incarnation = 0;
     std::vector<slice_load> slices;
+    std::chrono::microseconds latency{0}; ///< smoothed, as the coordinator sees it
+    double busy = 0.0;                    ///< share of the slots in use, 0 to 1
 
     friend bool operator==(const load_report&, const load_report&) = default;
 };
 
-/// Sent by an assigner to the coordinator of the present owner, which alone decides.
-struct move_request {
-    partition_version known;
+struct released_slice {
     key_hash first = 0;
     std::uint64_t fence = 0;
-    backend_server_id from;
-    backend_server_id to;
 
-    friend bool operator==(const move_request&, const move_request&) = default;
+    friend bool operator==(const released_slice&, const released_slice&) = default;
+};
+
+/// Sent by a coordinator to the assigner: the slices are no longer served under these fences, and
+/// most validators know the version in which they move.
+struct released {
+    partition_version known;
+    backend_server_id server;
+    std::vector<released_slice> slices;
+
+    friend bool operator==(const released&, const released&) = default;
 };
 
 using peer_body = std::variant<probe, probe_answer, confirm_request, confirm_answer,
-                               document_request, document_offer, load_report, move_request>;
+                               document_request, document_offer, load_report, released>;
 
 struct peer_message {
     host_id sender;
--- a/src/assigner.cpp
+++ b/src/assigner.cpp
@@ -29,11 +29,24 @@
     const auto width = std::numeric_limits<key_hash>::max() / count;
     for (std::size_t i = 0; i < count; ++i) {
         const auto owner = static_cast<std::uint32_t>(i % servers);
-        out.slices.push_back({.first = width * i, .owner = owner, .fence = 1, .pinned = false});
+        out.slices.push_back(
+            {.first = width * i, .owner = owner, .fence = 1, .pinned = false, .moving_to = {}});
     }
     return out;
 }
 
+assigner::assigner(assigner_settings settings_) : settings{settings_} {}
+
+void assigner::on_report(const load_report& report, monotonic_time)
+{
+    this->reports[report.server] = report;
+}
+
+std::optional<partition> assigner::plan(const partition&, const description&, monotonic_time)
+{
+    return std::nullopt;
+}
+
 host_id preferred_host(const std::string& item, const std::vector<host_id>& hosts)
 {
     host_id best;
--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -201,6 +201,7 @@
         route.forward_address = host == hosts.end() ? std::string{} : host->forward_address;
     }
     snapshot->servers = this->routes;
+    snapshot->hosts = hosts;
     this->actions.emplace_back(publish_routes{std::move(snapshot)});
 }
 
--- a/src/document_codec.cpp
+++ b/src/document_codec.cpp
@@ -80,6 +80,7 @@
         item->set_owner(one.owner);
         item->set_fence(one.fence);
         item->set_pinned(one.pinned);
+        item->set_moving_to(one.moving_to ? *one.moving_to + 1 : 0);
     }
     return out.SerializeAsString();
 }
@@ -114,10 +115,13 @@
     out.validators = ids_of<host_id>(in->validators());
     out.previous_validators = ids_of<host_id>(in->previous_validators());
     for (const auto& one : in->slices()) {
+        const auto moving_to =
+            one.moving_to() == 0 ? std::nullopt : std::optional{one.moving_to() - 1};
         out.slices.push_back({.first = one.first(),
                               .owner = one.owner(),
                               .fence = one.fence(),
-                              .pinned = one.pinned()});
+                              .pinned = one.pinned(),
+                              .moving_to = moving_to});
     }
     if (out.version == 0 || !defect_of(out).empty()) {
         return std::nullopt;
--- a/src/partition.cpp
+++ b/src/partition.cpp
@@ -37,7 +37,9 @@
         return "slices are not in ascending order";
     }
     const auto count = document.backend_servers.size();
-    const auto no_owner = [count](const slice& one) { return one.owner >= count; };
+    const auto no_owner = [count](const slice& one) {
+        return one.owner >= count || one.moving_to.value_or(0) >= count;
+    };
     if (std::ranges::any_of(document.slices, no_owner)) {
         return "a slice names a backend server that is not listed";
     }
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -159,6 +159,8 @@
     body.set_backend_server(in.server.value);
     body.set_state(static_cast<std::uint32_t>(in.condition));
     body.set_incarnation(in.incarnation);
+    body.set_latency_micros(static_cast<std::uint64_t>(in.latency.count()));
+    body.set_busy_per_mille(static_cast<std::uint32_t>(in.busy * milli));
     for (const auto& one : in.slices) {
         auto* item = body.add_slices();
         item->set_first(one.first);
@@ -167,16 +169,18 @@
     }
 }
 
-void fill_body(wire::Envelope& out, const move_request& in)
+void fill_body(wire::Envelope& out, const released& in)
 {
-    auto& body = *out.mutable_move_request();
+    auto& body = *out.mutable_released();
     body.set_service(in.known.id.service.value);
     body.set_number(in.known.id.number);
     body.set_version(in.known.version);
-    body.set_first(in.first);
-    body.set_from(in.from.value);
-    body.set_to(in.to.value);
-    body.set_fence(in.fence);
+    body.set_backend_server(in.server.value);
+    for (const auto& one : in.slices) {
+        auto* item = body.add_slices();
+        item->set_first(one.first);
+        item->set_fence(one.fence);
+    }
 }
 
 partition_id id_of(const auto& in)
@@ -199,7 +203,9 @@
                     .server = {in.backend_server()},
                     .condition = bounded(in.state(), server_condition::lost),
                     .incarnation = in.incarnation(),
-                    .slices = {}};
+                    .slices = {},
+                    .latency = std::chrono::microseconds{in.latency_micros()},
+                    .busy = static_cast<double>(in.busy_per_mille()) / milli};
     for (const auto& one : in.slices()) {
         const auto rate = static_cast<double>(one.requests_per_second_milli()) / milli;
         out.slices.push_back({.first = one.first(), .requests_per_second = rate});
@@ -207,6 +213,17 @@
     return out;
 }
 
+released to_released(const wire::Released& in)
+{
+    released out{.known = {.id = id_of(in), .version = in.version()},
+                 .server = {in.backend_server()},
+                 .slices = {}};
+    for (const auto& one : in.slices()) {
+        out.slices.push_back({.first = one.first(), .fence = one.fence()});
+    }
+    return out;
+}
+
 std::optional<peer_body> to_body(const wire::Envelope& in)
 {
     switch (in.body_case()) {
@@ -241,14 +258,8 @@
                               .description = in.document_offer().description()};
     case wire::Envelope::kLoadReport:
         return to_load_report(in.load_report());
-    case wire::Envelope::kMoveRequest: {
-        const auto& body = in.move_request();
-        return move_request{.known = {.id = id_of(body), .version = body.version()},
-                            .first = body.first(),
-                            .fence = body.fence(),
-                            .from = {body.from()},
-                            .to = {body.to()}};
-    }
+    case wire::Envelope::kReleased:
+        return to_released(in.released());
     case wire::Envelope::BODY_NOT_SET:
         return std::nullopt;
     }
