assigner: plan moves, splits and merges from load reports

Cause: plan() was a stub that never moved a slice. Change: slice_loads keeps the load of each slice across splits, merges and moves; assignment_draft holds a document under change with the loads it leads to; assignment_steps evacuates, fills new servers, applies pins, balances within the churn budget, merges and drops. Not yet tested.

--- a/include/figreach/assigner.h
+++ b/include/figreach/assigner.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -8,10 +10,13 @@
 #include "figreach/description.h"
 #include "figreach/partition.h"
 #include "figreach/peer_message.h"
+#include "figreach/slice_loads.h"
 #include "figreach/time.h"
 
 namespace figreach {
 
+class assignment_draft;
+
 /// The first assignment of a partition: slices of equal width, spread evenly over the backend
 /// servers that receive work. Version 1, fence 1. Empty of slices when no server receives work.
 [[nodiscard]] partition first_assignment(const description& all, const partition_id& id,
@@ -22,7 +27,19 @@
     double most_imbalance = 1.25;       ///< busiest server over mean that is left alone
     milliseconds report_lifetime{5000}; ///< older load reports do not count
     milliseconds churn_window{10000};
-    double most_churn = 0.05; ///< share of the hash space moved for load in a window
+    double most_churn = 0.05;    ///< share of the hash space moved for load in a window
+    double imbalance_goal = 1.1; ///< balancing goes on until no server is fuller than this
+    double least_fullness = 0.5; ///< an emptier server is filled, for instance after a cold start
+    double cold_capacity = 0.25; ///< of a server's capacity, while it is cold
+    double slow_capacity = 0.5;  ///< of a server's capacity, while it is slow or sheds load
+    milliseconds settling_time{1500}; ///< from a change of a slice to the reports that cover it
+    std::uint32_t split_parts = 16;   ///< slices that a hot slice is split into
+    double most_slices = 4.0;         ///< slices over the described number, above which none split
+    double tidy_slices = 1.25;        ///< slices over the described number, above which cold merge
+    double cold_share = 0.25;         ///< of the mean load of a slice; colder slices may merge
+    std::size_t most_moves = 64;      ///< moves for load in one plan
+    /// Merges neighbours of one owner also when their fences differ; the higher fence is kept.
+    bool merge_raises_fence = false;
 };
 
 /// Plans changes of one partition. Pure: only what it is told counts. Two assigners of one
@@ -34,15 +51,28 @@
     void on_report(const load_report& report, monotonic_time now);
 
     /// The document with its next changes, version and writer unchanged; empty when nothing is
-    /// due. Slices that change owner are marked with moving_to; splits and merges keep owner and
-    /// fence. Servers that the description added or removed are added or, when they own nothing,
-    /// removed.
+    /// due or when no server receives work: then every key keeps its owner. Slices that change
+    /// owner are marked with moving_to; splits and merges keep owner and fence. Servers that the
+    /// description added or removed are added or, when they own nothing, removed.
     [[nodiscard]] std::optional<partition> plan(const partition& present, const description& all,
                                                 monotonic_time now);
 
 private:
+    struct load_move {
+        monotonic_time at{};
+        double width = 0.0;
+    };
+
+    [[nodiscard]] slice_loads& loads_of(const partition_id& id);
+    [[nodiscard]] assignment_draft draft_of(const partition& present, const description& all,
+                                            const service& described, monotonic_time now);
+    [[nodiscard]] double capacity_of(const partition_id& id, const description& all,
+                                     const backend_server& server, monotonic_time now);
+    [[nodiscard]] double churn_left(const partition_id& id, monotonic_time now);
+
     assigner_settings settings;
-    std::map<backend_server_id, load_report> reports;
+    std::map<partition_id, slice_loads> loads;
+    std::map<partition_id, std::deque<load_move>> moved;
 };
 
 /// The live host with the highest rendezvous weight for an item; empty when there is none.
--- /dev/null
+++ b/include/figreach/assignment_draft.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "figreach/description.h"
+#include "figreach/partition.h"
+#include "figreach/slice_loads.h"
+
+namespace figreach {
+
+/// One backend server as a draft weighs it. Loads and widths are shares of the partition's total
+/// and follow the next owner of a moving slice.
+struct draft_server {
+    backend_server_id name;
+    failure_domain_id failure_domain;
+    double capacity = 0.0; ///< relative; 0: may receive nothing
+    double load = 0.0;
+    double width = 0.0;
+    std::size_t slices = 0; ///< owned or on the way here
+};
+
+/// Share of a slice in the partition's load and hash space.
+struct draft_slice {
+    double load = 0.0;
+    double width = 0.0;
+    bool measured = false; ///< the load comes from reports on this very slice
+};
+
+/// A partition document under change, with the loads that its changes lead to.
+class assignment_draft {
+public:
+    /// `servers` are in the order of the document's list.
+    assignment_draft(partition document, std::vector<draft_server> servers,
+                     const std::vector<slice_estimate>& estimates);
+
+    [[nodiscard]] const partition& document() const { return this->draft; }
+    [[nodiscard]] const std::vector<draft_server>& servers() const { return this->listed; }
+    [[nodiscard]] const draft_slice& shares(std::size_t index) const { return this->parts[index]; }
+    /// The owner, or the next owner of a moving slice.
+    [[nodiscard]] std::uint32_t destination(std::size_t index) const;
+
+    [[nodiscard]] bool has_capacity() const { return this->total_capacity > 0.0; }
+    [[nodiscard]] bool may_receive(std::uint32_t server) const;
+    /// Load that the server should have, by its capacity.
+    [[nodiscard]] double fair_load(std::uint32_t server) const;
+    /// Load over fair load.
+    [[nodiscard]] double fullness(std::uint32_t server) const;
+    /// The servers that may receive slices with the highest and the lowest fullness.
+    [[nodiscard]] std::optional<std::uint32_t> fullest() const;
+    [[nodiscard]] std::optional<std::uint32_t> emptiest() const;
+    /// Where a load is best put: the server that is least full with it, and among near equals the
+    /// one whose failure domain is least full.
+    [[nodiscard]] std::optional<std::uint32_t> best_target(double load) const;
+
+    void move(std::size_t index, std::uint32_t server);
+    /// Splits before `at`, which lies inside the slice; the load divides by width.
+    void split(std::size_t index, key_hash at);
+    /// Merges the slice with the one after it and keeps the higher fence. Both have the same owner
+    /// and are not moving.
+    void merge_with_next(std::size_t index);
+    void set_pinned(std::size_t index, bool pinned);
+    /// Removes a server that owns and receives nothing; later servers move down in the list.
+    void drop_server(std::uint32_t server);
+
+private:
+    void account(std::size_t index, std::uint32_t server, double sign);
+
+    partition draft;
+    std::vector<draft_server> listed;
+    std::vector<draft_slice> parts;
+    std::map<failure_domain_id, draft_server> domains; ///< sums by failure domain
+    double total_capacity = 0.0;
+};
+
+} // namespace figreach
--- a/src/assigner.cpp
+++ b/src/assigner.cpp
@@ -1,8 +1,11 @@
 #include "figreach/assigner.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
+#include "figreach/assignment_draft.h"
+#include "figreach/assignment_steps.h"
 #include "figreach/key_hash.h"
 
 namespace figreach {
@@ -37,14 +40,109 @@
 
 assigner::assigner(assigner_settings settings_) : settings{settings_} {}
 
-void assigner::on_report(const load_report& report, monotonic_time)
+void assigner::on_report(const load_report& report, monotonic_time now)
 {
-    this->reports[report.server] = report;
+    this->loads_of(report.id).on_report(report, now);
 }
 
-std::optional<partition> assigner::plan(const partition&, const description&, monotonic_time)
+std::optional<partition> assigner::plan(const partition& present, const description& all,
+                                        monotonic_time now)
 {
-    return std::nullopt;
+    const auto* described = find_service(all, present.id.service);
+    if (described == nullptr || present.slices.empty()) {
+        return std::nullopt;
+    }
+    auto draft = this->draft_of(present, all, *described, now);
+    if (!draft.has_capacity()) {
+        return std::nullopt;
+    }
+    const auto receiving = static_cast<std::size_t>(
+        std::ranges::count_if(draft.servers(), [](const auto& one) { return one.capacity > 0.0; }));
+    const auto described_slices = receiving * described->slices_per_server;
+    redirect_moves(draft);
+    evacuate(draft);
+    apply_pins(draft, *described);
+    fill_new_servers(draft);
+    if (described->divided_by_key) {
+        const auto churn = this->churn_left(present.id, now);
+        const auto moved_width = balance(draft, this->settings, churn, described_slices);
+        if (moved_width > 0.0) {
+            this->moved[present.id].push_back({.at = now, .width = moved_width});
+        }
+        merge_cold_slices(draft, this->settings, described_slices);
+    }
+    drop_removed_servers(draft, all, described->name);
+    if (draft.document() == present) {
+        return std::nullopt;
+    }
+    return draft.document();
+}
+
+slice_loads& assigner::loads_of(const partition_id& id)
+{
+    const auto [found, created] =
+        this->loads.try_emplace(id, this->settings.settling_time, this->settings.report_lifetime);
+    return found->second;
+}
+
+assignment_draft assigner::draft_of(const partition& present, const description& all,
+                                    const service& described, monotonic_time now)
+{
+    auto document = present;
+    for (const auto& server : all.backend_servers) {
+        const bool listed = std::ranges::find(document.backend_servers, server.name) !=
+                            document.backend_servers.end();
+        if (server.service == described.name && receives_work(all, server) && !listed) {
+            document.backend_servers.push_back(server.name);
+        }
+    }
+    std::vector<draft_server> servers;
+    for (const auto& name : document.backend_servers) {
+        draft_server one{.name = name};
+        const auto* server = find_server(all, name);
+        if (server != nullptr && server->service == described.name) {
+            one.failure_domain = server->failure_domain;
+            one.capacity = this->capacity_of(present.id, all, *server, now);
+        }
+        servers.push_back(std::move(one));
+    }
+    const auto& estimates = this->loads_of(present.id).update(present, now);
+    return {std::move(document), std::move(servers), estimates};
+}
+
+double assigner::capacity_of(const partition_id& id, const description& all,
+                             const backend_server& server, monotonic_time now)
+{
+    if (!receives_work(all, server)) {
+        return 0.0;
+    }
+    const auto whole = static_cast<double>(server.slots);
+    switch (this->loads_of(id).condition(server.name, now)) {
+    case server_condition::serving:
+        return whole;
+    case server_condition::cold:
+        return whole * this->settings.cold_capacity;
+    case server_condition::slow:
+    case server_condition::shedding:
+        return whole * this->settings.slow_capacity;
+    case server_condition::leaving:
+    case server_condition::lost:
+        return 0.0;
+    }
+    return 0.0;
+}
+
+double assigner::churn_left(const partition_id& id, monotonic_time now)
+{
+    auto& recent = this->moved[id];
+    while (!recent.empty() && now - recent.front().at >= this->settings.churn_window) {
+        recent.pop_front();
+    }
+    double left = this->settings.most_churn;
+    for (const auto& one : recent) {
+        left -= one.width;
+    }
+    return left;
 }
 
 host_id preferred_host(const std::string& item, const std::vector<host_id>& hosts)
--- /dev/null
+++ b/src/assignment_draft.cpp
@@ -0,0 +1,198 @@
+#include "figreach/assignment_draft.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace figreach {
+
+namespace {
+
+/// Part of a slice's load that follows its width, so that idle slices spread evenly too.
+constexpr double width_part = 0.01;
+
+/// Weight of the failure domain's fullness in the choice of a target.
+constexpr double failure_domain_weight = 0.05;
+
+const double whole_space = std::ldexp(1.0, std::numeric_limits<key_hash>::digits);
+
+double width_share(key_hash first, key_hash last)
+{
+    return (static_cast<double>(last - first) + 1.0) / whole_space;
+}
+
+double total_rate(const std::vector<slice_estimate>& estimates)
+{
+    double total = 0.0;
+    for (const auto& one : estimates) {
+        total += one.requests_per_second;
+    }
+    return total;
+}
+
+draft_slice to_shares(const slice_estimate& estimate, double total)
+{
+    draft_slice out;
+    out.width = width_share(estimate.first, estimate.last);
+    out.load = out.width;
+    if (total > 0.0) {
+        const auto measured_part = estimate.requests_per_second / total;
+        out.load = (1.0 - width_part) * measured_part + width_part * out.width;
+    }
+    out.measured = estimate.measured;
+    return out;
+}
+
+} // namespace
+
+assignment_draft::assignment_draft(partition document, std::vector<draft_server> servers,
+                                   const std::vector<slice_estimate>& estimates)
+    : draft{std::move(document)}, listed{std::move(servers)}
+{
+    for (const auto& server : this->listed) {
+        this->total_capacity += server.capacity;
+        this->domains[server.failure_domain].capacity += server.capacity;
+    }
+    const auto total = total_rate(estimates);
+    for (const auto& estimate : estimates) {
+        this->parts.push_back(to_shares(estimate, total));
+    }
+    for (std::size_t i = 0; i < this->parts.size(); ++i) {
+        this->account(i, this->destination(i), 1.0);
+    }
+}
+
+std::uint32_t assignment_draft::destination(std::size_t index) const
+{
+    const auto& one = this->draft.slices[index];
+    return one.moving_to.value_or(one.owner);
+}
+
+bool assignment_draft::may_receive(std::uint32_t server) const
+{
+    return this->listed[server].capacity > 0.0;
+}
+
+double assignment_draft::fair_load(std::uint32_t server) const
+{
+    return this->listed[server].capacity / this->total_capacity;
+}
+
+double assignment_draft::fullness(std::uint32_t server) const
+{
+    return this->listed[server].load / this->fair_load(server);
+}
+
+std::optional<std::uint32_t> assignment_draft::fullest() const
+{
+    std::optional<std::uint32_t> best;
+    for (std::uint32_t i = 0; i < this->listed.size(); ++i) {
+        if (this->may_receive(i) && (!best || this->fullness(i) > this->fullness(*best))) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+std::optional<std::uint32_t> assignment_draft::emptiest() const
+{
+    std::optional<std::uint32_t> best;
+    for (std::uint32_t i = 0; i < this->listed.size(); ++i) {
+        if (this->may_receive(i) && (!best || this->fullness(i) < this->fullness(*best))) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+std::optional<std::uint32_t> assignment_draft::best_target(double load) const
+{
+    std::optional<std::uint32_t> best;
+    double best_score = 0.0;
+    for (std::uint32_t i = 0; i < this->listed.size(); ++i) {
+        if (!this->may_receive(i)) {
+            continue;
+        }
+        const auto& server = this->listed[i];
+        const auto& domain = this->domains.at(server.failure_domain);
+        const auto score = (server.load + load) / server.capacity +
+                           failure_domain_weight * (domain.load + load) / domain.capacity;
+        if (!best || score < best_score) {
+            best = i;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+void assignment_draft::move(std::size_t index, std::uint32_t server)
+{
+    this->account(index, this->destination(index), -1.0);
+    this->draft.slices[index].moving_to = server;
+    this->account(index, server, 1.0);
+}
+
+void assignment_draft::split(std::size_t index, key_hash at)
+{
+    const auto last = last_hash(this->draft, index);
+    auto& left = this->parts[index];
+    auto right = left;
+    right.width = width_share(at, last);
+    right.load = left.load * right.width / left.width;
+    right.measured = false;
+    left.width -= right.width;
+    left.load -= right.load;
+    left.measured = false;
+    const auto after = static_cast<std::ptrdiff_t>(index) + 1;
+    this->parts.insert(this->parts.begin() + after, right);
+    auto second = this->draft.slices[index];
+    second.first = at;
+    this->draft.slices.insert(this->draft.slices.begin() + after, second);
+    ++this->listed[this->destination(index)].slices;
+}
+
+void assignment_draft::merge_with_next(std::size_t index)
+{
+    const auto after = static_cast<std::ptrdiff_t>(index) + 1;
+    auto& left = this->parts[index];
+    const auto& right = this->parts[index + 1];
+    left.width += right.width;
+    left.load += right.load;
+    left.measured = false;
+    auto& fence = this->draft.slices[index].fence;
+    fence = std::max(fence, this->draft.slices[index + 1].fence);
+    --this->listed[this->destination(index)].slices;
+    this->parts.erase(this->parts.begin() + after);
+    this->draft.slices.erase(this->draft.slices.begin() + after);
+}
+
+void assignment_draft::set_pinned(std::size_t index, bool pinned)
+{
+    this->draft.slices[index].pinned = pinned;
+}
+
+void assignment_draft::drop_server(std::uint32_t server)
+{
+    const auto place = static_cast<std::ptrdiff_t>(server);
+    this->listed.erase(this->listed.begin() + place);
+    this->draft.backend_servers.erase(this->draft.backend_servers.begin() + place);
+    for (auto& one : this->draft.slices) {
+        one.owner -= one.owner > server ? 1U : 0U;
+        if (one.moving_to && *one.moving_to > server) {
+            --*one.moving_to;
+        }
+    }
+}
+
+void assignment_draft::account(std::size_t index, std::uint32_t server, double sign)
+{
+    const auto& part = this->parts[index];
+    auto& one = this->listed[server];
+    one.load += sign * part.load;
+    one.width += sign * part.width;
+    one.slices += sign > 0.0 ? 1 : -1;
+    this->domains[one.failure_domain].load += sign * part.load;
+}
+
+} // namespace figreach
--- /dev/null
+++ b/src/assignment_steps.cpp
@@ -0,0 +1,368 @@
+#include "figreach/assignment_steps.h"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "figreach/routing.h"
+
+namespace figreach {
+
+namespace {
+
+/// Share of its fair load up to which a server without slices is filled at once.
+constexpr double full_enough = 0.97;
+
+bool is_moving(const slice& one)
+{
+    return one.moving_to.has_value();
+}
+
+/// Whether a slice may be moved for load from a server.
+bool is_movable(const assignment_draft& draft, std::size_t index, std::uint32_t server)
+{
+    const auto& one = draft.document().slices[index];
+    return one.owner == server && !is_moving(one) && !one.pinned;
+}
+
+/// Splits so that a slice begins at `at`; returns its index.
+std::size_t begin_slice_at(assignment_draft& draft, key_hash at)
+{
+    const auto index = slice_index(draft.document(), at);
+    if (draft.document().slices[index].first == at) {
+        return index;
+    }
+    draft.split(index, at);
+    return index + 1;
+}
+
+std::optional<std::uint32_t> listed_index(const assignment_draft& draft,
+                                          const backend_server_id& name)
+{
+    const auto& names = draft.document().backend_servers;
+    const auto found = std::ranges::find(names, name);
+    if (found == names.end()) {
+        return std::nullopt;
+    }
+    return static_cast<std::uint32_t>(found - names.begin());
+}
+
+/// Hashes of the pinned keys of a partition, with their servers.
+std::map<key_hash, backend_server_id> pins_of(const service& described, const partition_id& id)
+{
+    std::map<key_hash, backend_server_id> out;
+    for (const auto& pin : described.pins) {
+        const auto hash = hash_key(pin.key);
+        if (partition_of(described, hash) == id) {
+            out[hash] = pin.server;
+        }
+    }
+    return out;
+}
+
+void apply_pin(assignment_draft& draft, key_hash hash, const backend_server_id& server)
+{
+    const auto holder = slice_index(draft.document(), hash);
+    if (is_moving(draft.document().slices[holder])) {
+        return;
+    }
+    const auto index = begin_slice_at(draft, hash);
+    if (last_hash(draft.document(), index) != hash) {
+        draft.split(index, hash + 1);
+    }
+    draft.set_pinned(index, true);
+    const auto target = listed_index(draft, server);
+    const bool away = target && draft.document().slices[index].owner != *target;
+    if (away && draft.may_receive(*target)) {
+        draft.move(index, *target);
+    }
+}
+
+void remove_old_pins(assignment_draft& draft, const std::map<key_hash, backend_server_id>& pins)
+{
+    for (std::size_t i = 0; i < draft.document().slices.size(); ++i) {
+        const auto& one = draft.document().slices[i];
+        if (one.pinned && !pins.contains(one.first)) {
+            draft.set_pinned(i, false);
+        }
+    }
+}
+
+/// Slices in descending order of load.
+void sort_hottest_first(const assignment_draft& draft, std::vector<std::size_t>& indices)
+{
+    std::ranges::stable_sort(indices, std::greater{},
+                             [&draft](std::size_t i) { return draft.shares(i).load; });
+}
+
+/// Gives each slice the best target, the hottest first.
+void place(assignment_draft& draft, std::vector<std::size_t> indices)
+{
+    sort_hottest_first(draft, indices);
+    for (const auto index : indices) {
+        if (const auto target = draft.best_target(draft.shares(index).load)) {
+            draft.move(index, *target);
+        }
+    }
+}
+
+/// The hottest movable slice of a server that fits into the bounds on load and width.
+std::optional<std::size_t> hottest_fitting(const assignment_draft& draft, std::uint32_t server,
+                                           double most_load, double most_width)
+{
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < draft.document().slices.size(); ++i) {
+        const auto& part = draft.shares(i);
+        const bool fits =
+            is_movable(draft, i, server) && part.load <= most_load && part.width <= most_width;
+        if (fits && (!best || part.load > draft.shares(*best).load)) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+/// The movable slice of a server with the least load for its width.
+std::optional<std::size_t> coldest_by_width(const assignment_draft& draft, std::uint32_t server)
+{
+    std::optional<std::size_t> best;
+    const auto density = [&draft](std::size_t i) {
+        return draft.shares(i).load / draft.shares(i).width;
+    };
+    for (std::size_t i = 0; i < draft.document().slices.size(); ++i) {
+        const bool can_split = last_hash(draft.document(), i) > draft.document().slices[i].first;
+        if (is_movable(draft, i, server) && can_split && (!best || density(i) < density(*best))) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+/// Hash at a share of the way through a slice, inside it.
+key_hash hash_inside(const assignment_draft& draft, std::size_t index, double share)
+{
+    const auto first = draft.document().slices[index].first;
+    const auto last = last_hash(draft.document(), index);
+    const auto offset = static_cast<key_hash>(static_cast<double>(last - first) * share);
+    return std::clamp(first + offset, first + 1, last);
+}
+
+/// Takes one slice, or a part of one, from a server for a new one; false when it has none to give.
+bool give_to_new_server(assignment_draft& draft, std::uint32_t from, std::uint32_t to,
+                        double width_left)
+{
+    const auto load_left = draft.fair_load(to) - draft.servers()[to].load;
+    if (const auto index = hottest_fitting(draft, from, load_left, width_left)) {
+        draft.move(*index, to);
+        return true;
+    }
+    const auto index = coldest_by_width(draft, from);
+    if (!index) {
+        return false;
+    }
+    const auto& part = draft.shares(*index);
+    const auto share = std::min({load_left / part.load, width_left / part.width, 1.0});
+    draft.split(*index, hash_inside(draft, *index, share));
+    draft.move(*index, to);
+    return true;
+}
+
+/// The fullest server that owns a slice which may be moved.
+std::optional<std::uint32_t> fullest_donor(const assignment_draft& draft,
+                                           const std::set<std::uint32_t>& without)
+{
+    std::optional<std::uint32_t> best;
+    for (std::uint32_t i = 0; i < draft.servers().size(); ++i) {
+        const bool may_give = draft.may_receive(i) && !without.contains(i);
+        if (may_give && (!best || draft.fullness(i) > draft.fullness(*best))) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+void fill_new_server(assignment_draft& draft, std::uint32_t server)
+{
+    const auto fair = draft.fair_load(server);
+    std::set<std::uint32_t> exhausted{server};
+    const auto least_step = fair * (1.0 - full_enough);
+    while (draft.servers()[server].load < fair * full_enough) {
+        const auto width_left = fair - draft.servers()[server].width;
+        const auto donor = fullest_donor(draft, exhausted);
+        if (width_left < least_step || !donor || draft.fullness(*donor) <= 1.0) {
+            return;
+        }
+        if (!give_to_new_server(draft, *donor, server, width_left)) {
+            exhausted.insert(*donor);
+        }
+    }
+}
+
+/// One attempt to move load; the width that moved, or nothing.
+std::optional<double> move_load(assignment_draft& draft, std::uint32_t from, double goal,
+                                double churn)
+{
+    const auto to = draft.emptiest();
+    if (!to || *to == from) {
+        return std::nullopt;
+    }
+    const auto excess = draft.servers()[from].load - draft.fair_load(from);
+    const auto room = draft.fair_load(*to) * goal - draft.servers()[*to].load;
+    const auto index = hottest_fitting(draft, from, std::min(excess, room), churn);
+    if (!index) {
+        return std::nullopt;
+    }
+    draft.move(*index, *to);
+    return draft.shares(*index).width;
+}
+
+/// The hottest measured slice of a server that is too hot to be moved and wide enough to split.
+std::optional<std::size_t> slice_to_split(const assignment_draft& draft, std::uint32_t server)
+{
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < draft.document().slices.size(); ++i) {
+        const auto& part = draft.shares(i);
+        const bool can_split = last_hash(draft.document(), i) > draft.document().slices[i].first;
+        const bool suits = is_movable(draft, i, server) && part.measured && can_split;
+        if (suits && (!best || part.load > draft.shares(*best).load)) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+void split_evenly(assignment_draft& draft, std::size_t index, std::uint32_t parts)
+{
+    const auto first = draft.document().slices[index].first;
+    const auto last = last_hash(draft.document(), index);
+    const auto step = std::max<key_hash>((last - first) / parts + 1, 1);
+    for (std::uint32_t part = 1; part < parts && last - first >= step * part; ++part) {
+        draft.split(index + part - 1, first + step * part);
+    }
+}
+
+bool is_balanced(const assignment_draft& draft, std::uint32_t fullest, double most, double least)
+{
+    const auto emptiest = draft.emptiest();
+    return draft.fullness(fullest) <= most && draft.fullness(*emptiest) >= least;
+}
+
+bool may_merge(const assignment_draft& draft, std::size_t index, const assigner_settings& settings,
+               double most_load)
+{
+    const auto& left = draft.document().slices[index];
+    const auto& right = draft.document().slices[index + 1];
+    const bool at_rest = !is_moving(left) && !is_moving(right) && !left.pinned && !right.pinned;
+    const bool same_fence = left.fence == right.fence || settings.merge_raises_fence;
+    const bool measured = draft.shares(index).measured && draft.shares(index + 1).measured;
+    const bool cold = draft.shares(index).load + draft.shares(index + 1).load <= most_load;
+    return at_rest && left.owner == right.owner && same_fence && measured && cold;
+}
+
+} // namespace
+
+void apply_pins(assignment_draft& draft, const service& described)
+{
+    const auto pins = pins_of(described, draft.document().id);
+    remove_old_pins(draft, pins);
+    for (const auto& [hash, server] : pins) {
+        apply_pin(draft, hash, server);
+    }
+}
+
+void redirect_moves(assignment_draft& draft)
+{
+    std::vector<std::size_t> indices;
+    for (std::size_t i = 0; i < draft.document().slices.size(); ++i) {
+        if (is_moving(draft.document().slices[i]) && !draft.may_receive(draft.destination(i))) {
+            indices.push_back(i);
+        }
+    }
+    place(draft, std::move(indices));
+}
+
+void evacuate(assignment_draft& draft)
+{
+    std::vector<std::size_t> indices;
+    for (std::size_t i = 0; i < draft.document().slices.size(); ++i) {
+        const auto& one = draft.document().slices[i];
+        if (!is_moving(one) && !draft.may_receive(one.owner)) {
+            indices.push_back(i);
+        }
+    }
+    place(draft, std::move(indices));
+}
+
+void fill_new_servers(assignment_draft& draft)
+{
+    for (std::uint32_t i = 0; i < draft.servers().size(); ++i) {
+        if (draft.may_receive(i) && draft.servers()[i].slices == 0) {
+            fill_new_server(draft, i);
+        }
+    }
+}
+
+double balance(assignment_draft& draft, const assigner_settings& settings, double churn,
+               std::size_t described_slices)
+{
+    auto fullest = *draft.fullest();
+    if (is_balanced(draft, fullest, settings.most_imbalance, settings.least_fullness)) {
+        return 0.0;
+    }
+    double moved = 0.0;
+    for (std::size_t i = 0;
+         i < settings.most_moves && draft.fullness(fullest) > settings.imbalance_goal; ++i) {
+        const auto width = move_load(draft, fullest, settings.imbalance_goal, churn - moved);
+        if (!width) {
+            break;
+        }
+        moved += *width;
+        fullest = *draft.fullest();
+    }
+    const auto most = static_cast<double>(described_slices) * settings.most_slices;
+    const bool may_split = static_cast<double>(draft.document().slices.size()) < most;
+    if (draft.fullness(fullest) <= settings.imbalance_goal || !may_split) {
+        return moved;
+    }
+    const auto excess = draft.servers()[fullest].load - draft.fair_load(fullest);
+    const auto index = slice_to_split(draft, fullest);
+    if (index && draft.shares(*index).load > excess) {
+        split_evenly(draft, *index, settings.split_parts);
+    }
+    return moved;
+}
+
+void merge_cold_slices(assignment_draft& draft, const assigner_settings& settings,
+                       std::size_t described_slices)
+{
+    const auto wanted = static_cast<double>(described_slices) * settings.tidy_slices;
+    const auto most_load = settings.cold_share / static_cast<double>(described_slices);
+    std::size_t index = draft.document().slices.size();
+    while (index > 1 && static_cast<double>(draft.document().slices.size()) > wanted) {
+        index = std::min(index, draft.document().slices.size()) - 1;
+        if (index > 0 && may_merge(draft, index - 1, settings, most_load)) {
+            draft.merge_with_next(index - 1);
+        }
+    }
+}
+
+void drop_removed_servers(assignment_draft& draft, const description& all,
+                          const service_id& service)
+{
+    for (auto i = static_cast<std::uint32_t>(draft.servers().size()); i > 0; --i) {
+        const auto place = i - 1;
+        const auto* server = find_server(all, draft.servers()[place].name);
+        const bool described = server != nullptr && server->service == service;
+        const auto refers = [place](const slice& one) {
+            return one.owner == place || one.moving_to == place;
+        };
+        if (!described && std::ranges::none_of(draft.document().slices, refers)) {
+            draft.drop_server(place);
+        }
+    }
+}
+
+} // namespace figreach
