Change the description through a pure state machine; operators' RPC with token and TLS

Cause: the thin path wrote the history with an empty writer id, could not tell a lost answer from a refusal, and let anybody change the description. Ruled out: reporting 'not accepted' when a re-read does not show the write: it may still land; the same compare-and-swap is sent again instead, of which at most one can take effect. Conclusion: not proved yet.

--- /dev/null
+++ b/include/figreach/configuration_change.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "figreach/configuration.h"
+#include "figreach/document_codec.h"
+
+namespace figreach {
+
+/// State machine of one change of the description in the store. Pure: it takes the answers of the
+/// store with the time and returns the next call, until it returns the answer to the operator.
+///
+/// The change writes the history by compare-and-swap. After a lost answer it reads again, and
+/// sends the same write again if the key still has the revision that the write expects: at most
+/// one of the two can take effect. The change is reported as not accepted only when its write can
+/// no longer take effect.
+class configuration_change {
+public:
+    explicit configuration_change(change_request request);
+
+    /// The first step. Called once.
+    [[nodiscard]] change_step start(monotonic_time now);
+    /// The next step after the answer to the last call.
+    [[nodiscard]] change_step on_answer(const store_result& answer, monotonic_time now);
+
+private:
+    [[nodiscard]] change_step on_result(const store_read& answer, monotonic_time now);
+    [[nodiscard]] change_step on_result(const store_written& answer, monotonic_time now);
+    [[nodiscard]] change_step on_result(const store_conflict& answer, monotonic_time now);
+    [[nodiscard]] change_step on_result(const store_silent& answer, monotonic_time now);
+
+    [[nodiscard]] change_step read(monotonic_time not_before) const;
+    [[nodiscard]] change_step write(monotonic_time now) const;
+    [[nodiscard]] change_step plan(const stored_value& present, monotonic_time now);
+    [[nodiscard]] change_step check(const description_record& in_force, std::string toml,
+                                    monotonic_time now);
+    [[nodiscard]] change_step propose(std::string toml, monotonic_time now);
+    [[nodiscard]] change_step resolve(const stored_value& present, monotonic_time now);
+    [[nodiscard]] change_step superseded(const stored_value& present, monotonic_time now);
+
+    [[nodiscard]] change_step edit(const replace_description& what, monotonic_time now);
+    [[nodiscard]] change_step edit(const set_domain_state& what, monotonic_time now);
+    [[nodiscard]] change_step edit(const set_server_state& what, monotonic_time now);
+    [[nodiscard]] change_step edit_state(const std::string& list, const std::string& name,
+                                         std::optional<service_state> present, service_state wanted,
+                                         monotonic_time now);
+
+    [[nodiscard]] change_answer answer(change_outcome outcome, std::string detail) const;
+    [[nodiscard]] change_answer conflict(std::uint64_t based_on) const;
+
+    change_request request;
+    stored_value base;         ///< the history that the change builds on
+    description_history known; ///< decoded from base
+    std::string proposal;      ///< encoded history with the change; empty: nothing written yet
+    std::uint64_t proposed_version = 0;
+    std::vector<std::string> changes;
+    std::uint32_t attempts = 0;
+};
+
+} // namespace figreach
--- a/include/figreach/host_settings.h
+++ b/include/figreach/host_settings.h
@@ -25,8 +25,12 @@
     std::string store_address;
     std::uint32_t request_threads = 2;
     std::string log_level = "info";
-    std::string log_file;       ///< empty: standard error
-    std::string operator_token; ///< empty: operators' changes are refused
+    std::string log_file;         ///< empty: standard error
+    std::string operator_token;   ///< empty: changes need a client certificate
+    std::string tls_certificate;  ///< of the operators' RPC, file in PEM; empty: plaintext
+    std::string tls_key;          ///< file in PEM
+    std::string tls_client_ca;    ///< file in PEM; operators need a certificate signed by it
+    bool allow_plaintext = false; ///< listeners not on loopback may do without TLS
     milliseconds balancer_grace{2000};
     milliseconds drain_limit{30000};
 };
--- a/include/figreach/rpc/entry_host.h
+++ b/include/figreach/rpc/entry_host.h
@@ -28,6 +28,13 @@
     entry_host(const entry_host&) = delete;
     entry_host& operator=(const entry_host&) = delete;
 
+    /// Tells the control thread of a description that was just accepted, so that it need not wait
+    /// for the store. Called by one thread at a time.
+    void configuration_changed(stored_value present);
+
+    /// The routes in force; lives as long as the host.
+    [[nodiscard]] const route_board& routing() const;
+
 private:
     void run();
     void take_events();
@@ -44,6 +51,7 @@
     ring<control_event> from_peers;
     ring<control_event> from_store;
     ring<control_event> from_servers;
+    ring<control_event> from_operators;
     route_board routes;
     link_board links;
     std::shared_ptr<const routing_snapshot> published;
--- a/include/figreach/rpc/operator_server.h
+++ b/include/figreach/rpc/operator_server.h
@@ -1,17 +1,19 @@
 #pragma once
 
 #include <memory>
-#include <string>
 
-#include "figreach/rpc/etcd_client.h"
+#include "figreach/rpc/operator_settings.h"
+#include "figreach/runtime/route_board.h"
 
 namespace figreach {
 
-/// The operators' RPC of one entry host.
+/// The operators' RPC of one entry host. It calls the store itself, apart from the control thread.
 class operator_server {
 public:
-    /// Listens at `address`. Throws std::runtime_error when it cannot.
-    operator_server(const std::string& address, const std::string& store_address);
+    /// Listens. Throws std::runtime_error when it cannot, or when a certificate cannot be read.
+    /// `routes` outlives the server.
+    operator_server(const operator_settings& settings, const route_board& routes,
+                    operator_hooks hooks);
     ~operator_server();
     operator_server(const operator_server&) = delete;
     operator_server& operator=(const operator_server&) = delete;
--- a/include/figreach/toml_reader.h
+++ b/include/figreach/toml_reader.h
@@ -54,4 +54,7 @@
 /// Whether a text is an IPv4 or bracketed IPv6 number with a port from 1 to 65535.
 [[nodiscard]] bool is_address(std::string_view text);
 
+/// Whether a well-formed address is reachable from its own machine only.
+[[nodiscard]] bool is_loopback(std::string_view address);
+
 } // namespace figreach
--- /dev/null
+++ b/src/configuration_change.cpp
@@ -0,0 +1,325 @@
+#include "figreach/configuration_change.h"
+
+#include <utility>
+
+#include "figreach/description_diff.h"
+#include "figreach/description_edit.h"
+#include "figreach/description_parser.h"
+#include "figreach/error_kind.h"
+#include "figreach/history.h"
+
+namespace figreach {
+
+namespace {
+
+constexpr milliseconds retry_pause{100};
+
+/// Times that a change of one state is planned anew because another change came first.
+constexpr std::uint32_t most_attempts = 16;
+
+/// Name of a submitted description in faults.
+constexpr auto submitted_file = "description";
+
+constexpr auto store_down_text =
+    "The platform's store does not answer and nothing was written. A change that the store has "
+    "not taken could be lost with the hosts that know it, so figreach accepts none meanwhile. "
+    "Repeat the change when the store answers; until then stop or drain the backend servers "
+    "themselves.";
+
+constexpr auto unknown_text =
+    "The store's answer was lost. The change may be in force now or later; read the history "
+    "before it is repeated.";
+
+constexpr auto damaged_text =
+    "The history in the store is damaged; the last good version stays in force.";
+
+constexpr auto history_lost_text =
+    "The history in the store no longer shows whether the change was accepted.";
+
+parsed_description parse(const description_record& record)
+{
+    auto parsed = parse_description(record.toml, "version " + std::to_string(record.version));
+    parsed.value.version = record.version;
+    return parsed;
+}
+
+std::string joined_names(const auto& items)
+{
+    std::string out;
+    for (const auto& item : items) {
+        out += out.empty() ? item.name.value : " | " + item.name.value;
+    }
+    return out.empty() ? "nothing: none is described" : out;
+}
+
+fault unknown_name(const std::string& list, const std::string& name, const auto& items)
+{
+    return {.file = submitted_file,
+            .line = 0,
+            .key = list,
+            .found = "'" + name + "'",
+            .allowed = joined_names(items)};
+}
+
+template <class Item>
+std::optional<service_state> state_of(const Item* item)
+{
+    return item == nullptr ? std::nullopt : std::optional{item->state};
+}
+
+stored_value first_value(const store_read& answer)
+{
+    return answer.values.empty() ? stored_value{} : answer.values.front();
+}
+
+} // namespace
+
+configuration_change::configuration_change(change_request request_) : request{std::move(request_)}
+{
+}
+
+change_step configuration_change::start(monotonic_time now)
+{
+    if (const auto* whole = std::get_if<replace_description>(&this->request.edit)) {
+        auto parsed = parse_description(whole->toml, submitted_file);
+        if (!parsed.faults.empty()) {
+            auto out = this->answer(change_outcome::invalid, "");
+            out.faults = std::move(parsed.faults);
+            return out;
+        }
+    }
+    return this->read(now);
+}
+
+change_step configuration_change::on_answer(const store_result& answer, monotonic_time now)
+{
+    return std::visit([this, now](const auto& one) { return this->on_result(one, now); }, answer);
+}
+
+change_step configuration_change::on_result(const store_read& answer, monotonic_time now)
+{
+    const auto present = first_value(answer);
+    return this->proposal.empty() ? this->plan(present, now) : this->resolve(present, now);
+}
+
+change_step configuration_change::on_result(const store_written& answer, monotonic_time)
+{
+    auto out = this->answer(change_outcome::accepted, "");
+    out.version = this->proposed_version;
+    out.accepted = stored_value{
+        .key = std::string{description_key}, .value = this->proposal, .revision = answer.revision};
+    return out;
+}
+
+change_step configuration_change::on_result(const store_conflict& answer, monotonic_time now)
+{
+    return this->resolve(answer.present, now);
+}
+
+change_step configuration_change::on_result(const store_silent&, monotonic_time now)
+{
+    const bool in_time = now + retry_pause < this->request.deadline;
+    if (in_time) {
+        return this->read(now + retry_pause);
+    }
+    if (this->proposal.empty()) {
+        return this->answer(change_outcome::not_accepted, store_down_text);
+    }
+    return this->answer(change_outcome::unknown, unknown_text);
+}
+
+change_step configuration_change::read(monotonic_time not_before) const
+{
+    return change_call{.call = read_key{std::string{description_key}},
+                       .not_before = not_before,
+                       .deadline = this->request.deadline};
+}
+
+change_step configuration_change::write(monotonic_time now) const
+{
+    return change_call{.call = compare_and_swap{.key = std::string{description_key},
+                                                .expected_revision = this->base.revision,
+                                                .value = this->proposal},
+                       .not_before = now,
+                       .deadline = this->request.deadline};
+}
+
+change_step configuration_change::plan(const stored_value& present, monotonic_time now)
+{
+    auto history = decode_history(present.value);
+    if (!history) {
+        return this->answer(change_outcome::not_accepted, damaged_text);
+    }
+    this->base = present;
+    this->known = std::move(*history);
+    return std::visit([this, now](const auto& what) { return this->edit(what, now); },
+                      this->request.edit);
+}
+
+change_step configuration_change::edit(const replace_description& what, monotonic_time now)
+{
+    if (version_in_force(this->known) != what.based_on) {
+        return this->conflict(what.based_on);
+    }
+    const auto* in_force = find_version(this->known, what.based_on);
+    return this->check(in_force == nullptr ? description_record{} : *in_force, what.toml, now);
+}
+
+change_step configuration_change::edit(const set_domain_state& what, monotonic_time now)
+{
+    if (this->known.empty()) {
+        return this->edit_state("failure_domain", what.name.value, {}, what.state, now);
+    }
+    const auto present = parse(this->known.back()).value;
+    return this->edit_state("failure_domain", what.name.value,
+                            state_of(find_failure_domain(present, what.name)), what.state, now);
+}
+
+change_step configuration_change::edit(const set_server_state& what, monotonic_time now)
+{
+    if (this->known.empty()) {
+        return this->edit_state("backend_server", what.name.value, {}, what.state, now);
+    }
+    const auto present = parse(this->known.back()).value;
+    return this->edit_state("backend_server", what.name.value,
+                            state_of(find_server(present, what.name)), what.state, now);
+}
+
+change_step configuration_change::edit_state(const std::string& list, const std::string& name,
+                                             std::optional<service_state> present,
+                                             service_state wanted, monotonic_time now)
+{
+    if (!present) {
+        const auto all = this->known.empty() ? description{} : parse(this->known.back()).value;
+        auto out = this->answer(change_outcome::invalid, "");
+        out.faults.push_back(list == "failure_domain"
+                                 ? unknown_name(list, name, all.failure_domains)
+                                 : unknown_name(list, name, all.backend_servers));
+        return out;
+    }
+    const auto& in_force = this->known.back();
+    if (*present == wanted) {
+        return this->answer(change_outcome::unchanged, list + " '" + name + "' is so already.");
+    }
+    auto toml = with_state(in_force.toml, list, name, wanted);
+    if (!toml) {
+        return this->answer(change_outcome::not_accepted,
+                            "The text of the description cannot be edited in place; change the "
+                            "state with apply.");
+    }
+    return this->check(in_force, std::move(*toml), now);
+}
+
+change_step configuration_change::check(const description_record& in_force, std::string toml,
+                                        monotonic_time now)
+{
+    const auto before = parse(in_force).value;
+    const auto after = parse_description(toml, submitted_file).value;
+    this->changes = description_diff(before, after);
+    auto dangers = description_dangers(before, after, this->request.load);
+    if (!dangers.empty() && !this->request.force) {
+        auto out = this->answer(change_outcome::dangerous, "");
+        out.dangers = std::move(dangers);
+        return out;
+    }
+    if (this->request.dry_run) {
+        auto out = this->answer(change_outcome::checked, "");
+        out.dangers = std::move(dangers);
+        return out;
+    }
+    return this->propose(std::move(toml), now);
+}
+
+change_step configuration_change::propose(std::string toml, monotonic_time now)
+{
+    if (now >= this->request.deadline) {
+        return this->answer(change_outcome::not_accepted, "The time allowed passed; nothing was "
+                                                          "written.");
+    }
+    const auto version = version_in_force(this->known) + 1;
+    const auto history = with_record(this->known, {.version = version,
+                                                   .writer = this->request.writer,
+                                                   .changed_by = this->request.changed_by,
+                                                   .reason = this->request.reason,
+                                                   .changed_at = this->request.requested_at,
+                                                   .toml = std::move(toml)});
+    auto encoded = encode(history);
+    if (encoded.size() > most_history_bytes) {
+        auto out = this->answer(change_outcome::invalid, "");
+        out.faults.push_back(
+            {.file = submitted_file,
+             .line = 0,
+             .key = "(whole)",
+             .found = std::to_string(encoded.size()) + " bytes",
+             .allowed = "at most " + std::to_string(most_history_bytes) + " bytes"});
+        return out;
+    }
+    this->proposal = std::move(encoded);
+    this->proposed_version = version;
+    return this->write(now);
+}
+
+change_step configuration_change::resolve(const stored_value& present, monotonic_time now)
+{
+    const auto history = decode_history(present.value);
+    if (!history) {
+        return this->answer(change_outcome::unknown, damaged_text);
+    }
+    const auto* record = find_version(*history, this->proposed_version);
+    if (record != nullptr && record->writer == this->request.writer) {
+        auto out = this->answer(change_outcome::accepted, "");
+        out.version = this->proposed_version;
+        out.accepted = present;
+        return out;
+    }
+    if (record != nullptr) {
+        return this->superseded(present, now);
+    }
+    if (present.revision != this->base.revision) {
+        return this->answer(change_outcome::unknown, history_lost_text);
+    }
+    if (now < this->request.deadline) {
+        return this->write(now);
+    }
+    return this->answer(change_outcome::unknown, unknown_text);
+}
+
+change_step configuration_change::superseded(const stored_value& present, monotonic_time now)
+{
+    this->proposal.clear();
+    ++this->attempts;
+    if (this->attempts < most_attempts) {
+        return this->plan(present, now);
+    }
+    return this->answer(change_outcome::not_accepted,
+                        "Other changes came first each time; nothing was written.");
+}
+
+change_answer configuration_change::answer(change_outcome outcome, std::string detail) const
+{
+    change_answer out;
+    out.outcome = outcome;
+    out.version = version_in_force(this->known);
+    out.changes = this->changes;
+    out.detail = std::move(detail);
+    return out;
+}
+
+change_answer configuration_change::conflict(std::uint64_t based_on) const
+{
+    auto out = this->answer(change_outcome::conflict, "");
+    const auto* read_version = find_version(this->known, based_on);
+    if (this->known.empty() || (read_version == nullptr && based_on != 0)) {
+        out.detail = "Version " + std::to_string(based_on) +
+                     " is not in the history; read the description and apply again.";
+        return out;
+    }
+    const auto before = read_version == nullptr ? description{} : parse(*read_version).value;
+    out.changed_meanwhile = description_diff(before, parse(this->known.back()).value);
+    const auto& latest = this->known.back();
+    out.detail = "Version " + std::to_string(latest.version) + " by '" + latest.changed_by +
+                 "' is in force (reason: " + latest.reason + "). Read it and apply again.";
+    return out;
+}
+
+} // namespace figreach
--- /dev/null
+++ b/src/history.cpp
@@ -0,0 +1,46 @@
+#include "figreach/history.h"
+
+#include <algorithm>
+
+namespace figreach {
+
+namespace {
+
+/// Upper bound of what one record adds to the encoded history: its field tag and length.
+constexpr std::size_t record_overhead = 8;
+
+std::size_t size_of(const description_record& record)
+{
+    return encode(record).size() + record_overhead;
+}
+
+} // namespace
+
+std::uint64_t version_in_force(const description_history& history)
+{
+    return history.empty() ? 0 : history.back().version;
+}
+
+const description_record* find_version(const description_history& history, std::uint64_t version)
+{
+    const auto found = std::ranges::find(history, version, &description_record::version);
+    return found == history.end() ? nullptr : &*found;
+}
+
+description_history with_record(description_history history, description_record record)
+{
+    history.push_back(std::move(record));
+    std::size_t bytes = 0;
+    std::size_t kept = 0;
+    while (kept < history.size() && kept < most_history_records) {
+        bytes += size_of(history[history.size() - 1 - kept]);
+        if (bytes > most_history_bytes && kept > 0) {
+            break;
+        }
+        ++kept;
+    }
+    history.erase(history.begin(), history.end() - static_cast<std::ptrdiff_t>(kept));
+    return history;
+}
+
+} // namespace figreach
--- a/src/host_settings.cpp
+++ b/src/host_settings.cpp
@@ -1,11 +1,15 @@
 #include "figreach/host_settings.h"
 
+#include <map>
+#include <utility>
+
 #include "figreach/toml_reader.h"
 
 namespace figreach {
 
 namespace {
 
+constexpr std::size_t shortest_token = 16;
 constexpr std::int64_t most_threads = 256;
 constexpr milliseconds longest_grace = std::chrono::minutes{10};
 constexpr milliseconds longest_drain = std::chrono::hours{1};
@@ -21,6 +25,53 @@
     return seeds;
 }
 
+void check_distinct(toml_reader& in, const host_settings& value)
+{
+    std::map<std::string, std::string> taken;
+    const std::pair<const char*, const std::string*> listeners[] = {
+        {"caller_address", &value.caller_address}, {"forward_address", &value.forward_address},
+        {"peer_address", &value.peer_address},     {"operator_address", &value.operator_address},
+        {"admin_address", &value.admin_address},
+    };
+    for (const auto& [key, address] : listeners) {
+        const auto [other, is_new] = taken.emplace(*address, key);
+        if (!is_new && !address->empty()) {
+            in.add_fault(key, "'" + *address + "', as in " + other->second,
+                         "an address of its own");
+        }
+    }
+}
+
+void check_operators(toml_reader& in, const host_settings& value)
+{
+    const bool has_certificate = !value.tls_certificate.empty();
+    if (has_certificate != !value.tls_key.empty()) {
+        in.add_fault(has_certificate ? "tls_key" : "tls_certificate", "nothing",
+                     "a file, since the other of tls_certificate and tls_key is set");
+    }
+    if (!value.tls_client_ca.empty() && !has_certificate) {
+        in.add_fault("tls_client_ca", "'" + value.tls_client_ca + "' without tls_certificate",
+                     "tls_certificate and tls_key set, or no tls_client_ca");
+    }
+    if (!value.operator_token.empty() && value.operator_token.size() < shortest_token) {
+        in.add_fault("operator_token", std::to_string(value.operator_token.size()) + " characters",
+                     "at least " + std::to_string(shortest_token) + " characters");
+    }
+    if (!is_address(value.operator_address) || is_loopback(value.operator_address)) {
+        return;
+    }
+    if (!has_certificate && !value.allow_plaintext) {
+        in.add_fault("operator_address", "'" + value.operator_address + "' without TLS",
+                     "a loopback address, or tls_certificate and tls_key set, or "
+                     "allow_plaintext = true");
+    }
+    if (value.operator_token.empty() && value.tls_client_ca.empty()) {
+        in.add_fault("operator_address",
+                     "'" + value.operator_address + "' without operator_token or tls_client_ca",
+                     "a loopback address, or one of them set");
+    }
+}
+
 } // namespace
 
 parsed_host_settings parse_host_settings(std::string_view toml, const std::string& file)
@@ -55,11 +106,17 @@
         in.word_or("log_level", value.log_level, {"debug", "info", "warn", "error", "off"});
     value.log_file = in.text_or("log_file", "");
     value.operator_token = in.text_or("operator_token", "");
+    value.tls_certificate = in.text_or("tls_certificate", "");
+    value.tls_key = in.text_or("tls_key", "");
+    value.tls_client_ca = in.text_or("tls_client_ca", "");
+    value.allow_plaintext = in.flag_or("allow_plaintext", value.allow_plaintext);
     value.balancer_grace =
         in.time_or("balancer_grace_ms", value.balancer_grace, milliseconds{0}, longest_grace);
     value.drain_limit =
         in.time_or("drain_limit_ms", value.drain_limit, milliseconds{1}, longest_drain);
     in.reject_unknown_keys();
+    check_distinct(in, value);
+    check_operators(in, value);
     return out;
 }
 
--- a/src/programs/figreachd/main.cpp
+++ b/src/programs/figreachd/main.cpp
@@ -65,11 +65,54 @@
     io.run();
 }
 
+figreach::operator_settings operator_settings_of(const figreach::host_settings& settings)
+{
+    return {.host = settings.name,
+            .address = settings.operator_address,
+            .store_address = settings.store_address,
+            .token = settings.operator_token,
+            .tls_certificate = settings.tls_certificate,
+            .tls_key = settings.tls_key,
+            .tls_client_ca = settings.tls_client_ca};
+}
+
+figreach::operator_hooks hooks_of(figreach::entry_host& host)
+{
+    return {.on_accepted =
+                [&host](figreach::stored_value present) {
+                    host.configuration_changed(std::move(present));
+                },
+            .present_load = {}};
+}
+
+/// Faults of the files that the settings name.
+figreach::fault_list unreadable_files(const figreach::host_settings& settings,
+                                      const std::string& settings_file)
+{
+    const std::pair<const char*, const std::string*> files[] = {
+        {"tls_certificate", &settings.tls_certificate},
+        {"tls_key", &settings.tls_key},
+        {"tls_client_ca", &settings.tls_client_ca},
+    };
+    figreach::fault_list faults;
+    for (const auto& [key, path] : files) {
+        if (!path->empty() && !std::ifstream{*path}) {
+            faults.push_back({.file = settings_file,
+                              .line = 0,
+                              .key = key,
+                              .found = "'" + *path + "', which cannot be read",
+                              .allowed = "a file that this process may read"});
+        }
+    }
+    return faults;
+}
+
 int serve(const figreach::host_settings& settings)
 {
     figreach::start_log(settings.log_level, settings.log_file);
     figreach::entry_host host{settings};
-    figreach::operator_server operators{settings.operator_address, settings.store_address};
+    const figreach::operator_server operators{operator_settings_of(settings), host.routing(),
+                                              hooks_of(host)};
     figreach::log_change(figreach::log_level::info, "started", {{"host", settings.name.value}});
     wait_for_stop_signal();
     figreach::log_change(figreach::log_level::info, "stopping", {{"host", settings.name.value}});
@@ -85,7 +128,10 @@
     }
     std::ostringstream text;
     text << in.rdbuf();
-    const auto parsed = figreach::parse_host_settings(text.str(), given.settings_file);
+    auto parsed = figreach::parse_host_settings(text.str(), given.settings_file);
+    for (auto& one : unreadable_files(parsed.value, given.settings_file)) {
+        parsed.faults.push_back(std::move(one));
+    }
     if (!parsed.faults.empty()) {
         std::cerr << figreach::to_text(parsed.faults);
         return exit_bad_settings;
--- a/src/rpc/entry_host.cpp
+++ b/src/rpc/entry_host.cpp
@@ -41,6 +41,7 @@
       from_peers{inbox_capacity, [this] { this->bell.ring(); }},
       from_store{inbox_capacity, [this] { this->bell.ring(); }},
       from_servers{inbox_capacity, [this] { this->bell.ring(); }},
+      from_operators{inbox_capacity, [this] { this->bell.ring(); }},
       peers{settings.peer_address, settings.name, this->identity.incarnation, this->from_peers},
       store{settings.store_address, store_timeout, this->from_store},
       servers{this->from_servers},
@@ -56,6 +57,16 @@
     this->duty.join();
 }
 
+void entry_host::configuration_changed(stored_value present)
+{
+    this->from_operators.push(store_changed{std::move(present)});
+}
+
+const route_board& entry_host::routing() const
+{
+    return this->routes;
+}
+
 void entry_host::run()
 {
     auto next_tick = monotonic_time::clock::now();
@@ -72,7 +83,8 @@
 
 void entry_host::take_events()
 {
-    for (auto* inbox : {&this->from_peers, &this->from_store, &this->from_servers}) {
+    for (auto* inbox :
+         {&this->from_peers, &this->from_store, &this->from_servers, &this->from_operators}) {
         while (const auto event = inbox->pop()) {
             this->take(*event);
         }
--- a/src/toml_reader.cpp
+++ b/src/toml_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 #include <sstream>
 #include <utility>
 
@@ -27,32 +28,45 @@
     return out;
 }
 
-constexpr auto address_form = "IP number and port, for example 127.0.0.1:9000 or [::1]:9000";
-
-} // namespace
+bool is_port(std::string_view text)
+{
+    constexpr unsigned highest_port = 65535;
+    unsigned port = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), port);
+    const bool whole = end == text.data() + text.size();
+    return error == std::errc{} && whole && port != 0 && port <= highest_port;
+}
 
-bool is_address(std::string_view text)
+/// The IP number in a well-formed address.
+std::optional<boost::asio::ip::address> number_of(std::string_view address)
 {
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos) {
-        return false;
+    const auto colon = address.rfind(':');
+    if (colon == std::string_view::npos || !is_port(address.substr(colon + 1))) {
+        return std::nullopt;
     }
-    auto host = text.substr(0, colon);
-    const auto port_text = text.substr(colon + 1);
+    auto host = address.substr(0, colon);
     const bool bracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
     if (bracketed) {
         host = host.substr(1, host.size() - 2);
     }
-    unsigned port = 0;
-    const auto [end, port_error] =
-        std::from_chars(port_text.data(), port_text.data() + port_text.size(), port);
-    const bool whole = end == port_text.data() + port_text.size();
-    if (port_error != std::errc{} || !whole || port == 0 || port > 65535) {
-        return false;
-    }
     boost::system::error_code failed;
     const auto number = boost::asio::ip::make_address(std::string{host}, failed);
-    return !failed && number.is_v6() == bracketed;
+    return !failed && number.is_v6() == bracketed ? std::optional{number} : std::nullopt;
+}
+
+constexpr auto address_form = "IP number and port, for example 127.0.0.1:9000 or [::1]:9000";
+
+} // namespace
+
+bool is_address(std::string_view text)
+{
+    return number_of(text).has_value();
+}
+
+bool is_loopback(std::string_view address)
+{
+    const auto number = number_of(address);
+    return number && number->is_loopback();
 }
 
 toml_reader::toml_reader(const toml::table& table_, std::string path_, std::string file_,
