--- a/src/programs/figreachctl/main.cpp
+++ b/src/programs/figreachctl/main.cpp
@@ -1,51 +1,157 @@
 // The operators' command line.
 
-#include <fstream>
+#include <algorithm>
 #include <iostream>
-#include <sstream>
 
 #include <boost/program_options.hpp>
-#include <grpcpp/grpcpp.h>
 
-#include "operator.grpc.pb.h"
+#include "exit_code.h"
+#include "verb.h"
 
 namespace options = boost::program_options;
-namespace wire = figreach::operators::v1;
+using namespace figreachctl;
 
 namespace {
 
-constexpr int exit_ok = 0;
-constexpr int exit_refused = 1;
-constexpr int exit_usage = 2;
-constexpr int exit_unreachable = 3;
+/// Options are written out in full, so that a new one never changes what an old script means.
+constexpr int option_style =
+    options::command_line_style::unix_style & ~options::command_line_style::allow_guessing;
 
-std::string read_file(const std::string& path)
+options::options_description general_options()
 {
-    std::ifstream in{path};
-    std::ostringstream out;
-    out << in.rdbuf();
-    return out.str();
+    options::options_description out{"Options of every verb"};
+    auto add = out.add_options();
+    add("help", "print this text; after a verb: about that verb");
+    add("host",
+        options::value<std::vector<std::string>>()->composing()->default_value({"127.0.0.1:7400"},
+                                                                               "127.0.0.1:7400"),
+        "operators' address of an entry host; may be given again: the next is tried");
+    add("token-file", options::value<std::string>()->default_value(""),
+        "file whose first line is the operators' token");
+    add("tls-ca", options::value<std::string>()->default_value(""),
+        "certificate authority of the entry hosts, PEM; use TLS");
+    add("tls-certificate", options::value<std::string>()->default_value(""),
+        "your certificate, PEM");
+    add("tls-key", options::value<std::string>()->default_value(""), "your key, PEM");
+    add("tls-name", options::value<std::string>()->default_value(""),
+        "name in the entry hosts' certificate, if it is not their IP number");
+    add("json", "print JSON in place of text");
+    return out;
 }
 
-int apply(wire::Operator::Stub& host, const std::string& file, std::uint64_t based_on)
+/// The general options, and the words that are left for the verb.
+struct split_line {
+    options::variables_map general;
+    std::vector<std::string> rest;
+};
+
+split_line split(int argc, char** argv)
+{
+    options::options_description hidden;
+    hidden.add_options()("word", options::value<std::vector<std::string>>());
+    auto described = general_options();
+    described.add(hidden);
+    options::positional_options_description positions;
+    positions.add("word", -1);
+    const auto parsed = options::command_line_parser(argc, argv)
+                            .options(described)
+                            .positional(positions)
+                            .style(option_style)
+                            .allow_unregistered()
+                            .run();
+    split_line out;
+    options::store(parsed, out.general);
+    for (const auto& one : parsed.options) {
+        const bool for_verb = one.unregistered || one.string_key == "word";
+        if (for_verb) {
+            out.rest.insert(out.rest.end(), one.original_tokens.begin(), one.original_tokens.end());
+        }
+    }
+    return out;
+}
+
+void print_help()
+{
+    std::cout << "figreachctl [OPTIONS] VERB ...\n\nVerbs:\n";
+    for (const auto& one : all_verbs()) {
+        const auto form = std::string{one.name} + " " + one.form;
+        constexpr std::size_t width = 28;
+        std::cout << "  " << form << std::string(width - std::min(width - 1, form.size()), ' ')
+                  << one.summary << '\n';
+    }
+    std::cout
+        << '\n'
+        << general_options()
+        << "\nExit codes: 0 done; 1 refused, invalid or not accepted; 2 wrong use; 3 no entry "
+           "host\nanswers; 4 not known whether a change took effect; 5 conflict; 6 dangerous; "
+           "7 accepted,\nbut not yet in force everywhere. See docs/operations.md.\n";
+}
+
+int print_help_of(const verb& one)
+{
+    std::cout << "figreachctl " << one.name << ' ' << one.form << "\n  " << one.summary << "\n\n"
+              << one.options() << '\n'
+              << general_options();
+    return exit_ok;
+}
+
+connection_options where_of(const options::variables_map& general)
+{
+    return {.hosts = general["host"].as<std::vector<std::string>>(),
+            .token_file = general["token-file"].as<std::string>(),
+            .tls_ca = general["tls-ca"].as<std::string>(),
+            .tls_certificate = general["tls-certificate"].as<std::string>(),
+            .tls_key = general["tls-key"].as<std::string>(),
+            .tls_name = general["tls-name"].as<std::string>()};
+}
+
+verb_call parse_call(const verb& one, const split_line& line)
+{
+    auto described = one.options();
+    described.add_options()("argument", options::value<std::vector<std::string>>());
+    options::positional_options_description positions;
+    positions.add("argument", -1);
+    verb_call out{.where = where_of(line.general),
+                  .json = line.general.contains("json"),
+                  .arguments = {},
+                  .options = {}};
+    const std::vector<std::string> words{line.rest.begin() + 1, line.rest.end()};
+    options::store(options::command_line_parser(words)
+                       .options(described)
+                       .positional(positions)
+                       .style(option_style)
+                       .run(),
+                   out.options);
+    if (out.options.contains("argument")) {
+        out.arguments = out.options["argument"].as<std::vector<std::string>>();
+    }
+    if (out.arguments.size() != one.arguments) {
+        throw usage_error{std::string{"usage: figreachctl "} + one.name + " " + one.form};
+    }
+    return out;
+}
+
+int run(int argc, char** argv)
 {
-    wire::ApplyRequest request;
-    request.set_description_toml(read_file(file));
-    request.set_based_on_version(based_on);
-    wire::ApplyAnswer answer;
-    grpc::ClientContext context;
-    const auto status = host.Apply(&context, request, &answer);
-    if (!status.ok()) {
-        std::cerr << "figreachctl: " << status.error_message() << '\n';
-        return exit_unreachable;
+    const auto line = split(argc, argv);
+    const bool help = line.general.contains("help");
+    if (line.rest.empty()) {
+        print_help();
+        return help ? exit_ok : exit_usage;
     }
-    std::cout << wire::ApplyAnswer::Outcome_Name(answer.outcome()) << " version "
-              << answer.version() << '\n';
-    for (const auto& fault : answer.faults()) {
-        std::cout << fault.place() << ": found " << fault.found()
-                  << "; allowed: " << fault.allowed() << '\n';
+    const auto verbs = all_verbs();
+    const auto found =
+        std::ranges::find_if(verbs, [&](const auto& one) { return one.name == line.rest.front(); });
+    if (found == verbs.end()) {
+        throw usage_error{"unknown verb '" + line.rest.front() + "'; see figreachctl --help"};
     }
-    return answer.outcome() == wire::ApplyAnswer::ACCEPTED ? exit_ok : exit_refused;
+    return help ? print_help_of(*found) : found->run(parse_call(*found, line));
+}
+
+int fail(const std::exception& error, int code)
+{
+    std::cerr << "figreachctl: " << error.what() << '\n';
+    return code;
 }
 
 } // namespace
@@ -53,32 +159,18 @@
 int main(int argc, char** argv)
 {
     try {
-        options::options_description described{"figreachctl --host ADDRESS apply FILE\n\nOptions"};
-        auto add = described.add_options();
-        add("help", "print this text");
-        add("host", options::value<std::string>()->default_value("127.0.0.1:7400"),
-            "operators' address of any entry host");
-        add("based-on", options::value<std::uint64_t>()->default_value(0), "version read before");
-        add("verb", options::value<std::string>(), "apply");
-        add("argument", options::value<std::string>(), "FILE");
-        options::positional_options_description positions;
-        positions.add("verb", 1).add("argument", 1);
-        options::variables_map given;
-        options::store(
-            options::command_line_parser(argc, argv).options(described).positional(positions).run(),
-            given);
-        if (given.contains("help") || !given.contains("verb") || !given.contains("argument")) {
-            std::cout << described;
-            return given.contains("help") ? exit_ok : exit_usage;
-        }
-        const auto channel = grpc::CreateChannel(given["host"].as<std::string>(),
-                                                 grpc::InsecureChannelCredentials());
-        const auto host = wire::Operator::NewStub(channel);
-        return apply(*host, given["argument"].as<std::string>(),
-                     given["based-on"].as<std::uint64_t>());
+        return run(argc, argv);
     }
     catch (const options::error& error) {
-        std::cerr << "figreachctl: " << error.what() << '\n';
-        return exit_usage;
+        return fail(error, exit_usage);
+    }
+    catch (const usage_error& error) {
+        return fail(error, exit_usage);
+    }
+    catch (const unreadable_file& error) {
+        return fail(error, exit_usage);
+    }
+    catch (const std::exception& error) {
+        return fail(error, exit_unreachable);
     }
 }
--- /dev/null
+++ b/src/programs/figreachctl/output.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include <google/protobuf/message.h>
+
+#include "operator.pb.h"
+
+namespace figreachctl {
+
+namespace wire = figreach::operators::v1;
+
+using table_row = std::vector<std::string>;
+
+/// Aligned columns, the first row as a heading.
+void print_table(const std::vector<table_row>& rows);
+/// A message as one JSON object on one line, with every field.
+void print_json(const google::protobuf::Message& message);
+
+void print(const wire::ApplyAnswer& answer);
+void print(const wire::HistoryAnswer& answer);
+void print(const wire::DiffAnswer& answer);
+void print(const wire::StatusAnswer& answer);
+void print(const wire::ExplainAnswer& answer);
+void print(const wire::WatchEvent& event);
+
+/// Calendar time in UTC.
+[[nodiscard]] std::string time_text(std::int64_t unix_ms);
+
+} // namespace figreachctl
--- /dev/null
+++ b/src/programs/figreachctl/version_line.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace figreachctl {
+
+/// The line that `get` writes above a description, so that `apply` knows what it was made from.
+[[nodiscard]] std::string version_line(std::uint64_t version);
+/// The version in a text's first line, if that is a version line.
+[[nodiscard]] std::optional<std::uint64_t> read_version_line(const std::string& text);
+[[nodiscard]] std::string without_version_line(const std::string& text);
+
+} // namespace figreachctl
