--- a/include/figreach/toml_reader.h
+++ b/include/figreach/toml_reader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,6 +20,8 @@
     toml_reader(const toml::table& table, std::string path, std::string file, fault_list& faults);
 
     [[nodiscard]] std::string text(std::string_view key);
+    /// A text of letters, digits, '.', '_' and '-', so that it may stand in keys and headers.
+    [[nodiscard]] std::string name(std::string_view key);
     [[nodiscard]] std::string text_or(std::string_view key, std::string_view fallback);
     [[nodiscard]] std::vector<std::string> texts_or(std::string_view key,
                                                     std::vector<std::string> fallback);
@@ -36,6 +39,9 @@
     /// Readers of the tables in an array of tables; empty when the key is absent.
     [[nodiscard]] std::vector<toml_reader> tables(std::string_view key);
 
+    /// Line where the table begins.
+    [[nodiscard]] unsigned line() const;
+
     void add_fault(std::string_view key, std::string found, std::string allowed);
     /// Reports each key of the table that was not read.
     void reject_unknown_keys();
@@ -51,6 +57,10 @@
     std::vector<std::string> known;
 };
 
+/// Parses TOML; empty with a fault when it is not well-formed.
+[[nodiscard]] std::optional<toml::table> parse_toml(std::string_view toml, const std::string& file,
+                                                    fault_list& faults);
+
 /// Whether a text is an IPv4 or bracketed IPv6 number with a port from 1 to 65535.
 [[nodiscard]] bool is_address(std::string_view text);
 
--- a/src/description_parser.cpp
+++ b/src/description_parser.cpp
@@ -1,5 +1,6 @@
 #include "figreach/description_parser.h"
 
+#include <map>
 #include <set>
 #include <utility>
 
@@ -24,7 +25,7 @@
 failure_domain parse_failure_domain(toml_reader& in)
 {
     failure_domain out;
-    out.name = {in.text("name")};
+    out.name = {in.name("name")};
     out.region = {in.text("region")};
     out.state = to_state(in.word_or("state", "in", {"in", "out"}));
     in.reject_unknown_keys();
@@ -34,7 +35,7 @@
 tenant parse_tenant(toml_reader& in)
 {
     tenant out;
-    out.name = {in.text("name")};
+    out.name = {in.name("name")};
     out.weight = static_cast<std::uint32_t>(in.number_or("weight", 1, 1, most_weight));
     in.reject_unknown_keys();
     return out;
@@ -43,7 +44,7 @@
 request_class parse_class(toml_reader& in)
 {
     request_class out;
-    out.name = {in.text("name")};
+    out.name = {in.name("name")};
     out.shed_order = static_cast<std::uint32_t>(in.number_or("shed_order", 0, 0, most_weight));
     in.reject_unknown_keys();
     return out;
@@ -61,7 +62,7 @@
 service parse_service(toml_reader& in)
 {
     service out;
-    out.name = {in.text("name")};
+    out.name = {in.name("name")};
     out.tenant = {in.text("tenant")};
     out.divided_by_key = in.flag_or("divided_by_key", out.divided_by_key);
     out.checks_fences = in.flag_or("checks_fences", out.checks_fences);
@@ -92,7 +93,7 @@
 backend_server parse_server(toml_reader& in)
 {
     backend_server out;
-    out.name = {in.text("name")};
+    out.name = {in.name("name")};
     out.service = {in.text("service")};
     out.failure_domain = {in.text("failure_domain")};
     out.address = in.address("address");
@@ -104,12 +105,17 @@
     return out;
 }
 
+/// Lines of the tables of each kind, in their order.
+using line_map = std::map<std::string, std::vector<unsigned>>;
+
 template <class Item>
 std::set<std::string> names_of(const std::vector<Item>& items)
 {
     std::set<std::string> names;
     for (const auto& item : items) {
-        names.insert(item.name.value);
+        if (!item.name.empty()) {
+            names.insert(item.name.value);
+        }
     }
     return names;
 }
@@ -117,8 +123,9 @@
 /// Faults that lie between tables: repeated names and references to names that do not exist.
 class cross_check {
 public:
-    cross_check(const description& all_, const std::string& file_, fault_list& faults_)
-        : all{all_}, file{file_}, faults{faults_}
+    cross_check(const description& all_, const std::string& file_, const line_map& lines_,
+                fault_list& faults_)
+        : all{all_}, file{file_}, lines{lines_}, faults{faults_}
     {
     }
 
@@ -133,28 +140,44 @@
     }
 
 private:
-    void add(std::string key, std::string found, std::string allowed)
+    /// A table in a list of the description, as faults name it.
+    struct place {
+        std::string path;
+        unsigned line = 0;
+    };
+
+    template <class Item>
+    place place_of(const std::string& kind, const std::vector<Item>& items, const Item& item) const
+    {
+        const auto index = static_cast<std::size_t>(&item - items.data());
+        return {.path = kind + " '" + item.name.value + "'",
+                .line = this->lines.at(kind).at(index)};
+    }
+
+    void add(const place& where, const std::string& key, std::string found, std::string allowed)
     {
         this->faults.push_back({.file = this->file,
-                                .line = 0,
-                                .key = std::move(key),
+                                .line = where.line,
+                                .key = where.path + "." + key,
                                 .found = std::move(found),
                                 .allowed = std::move(allowed)});
     }
 
     template <class Item>
-    void unique(const std::string& key, const std::vector<Item>& items)
+    void unique(const std::string& kind, const std::vector<Item>& items)
     {
         std::set<std::string> seen;
         for (const auto& item : items) {
             const bool repeated = !item.name.empty() && !seen.insert(item.name.value).second;
             if (repeated) {
-                this->add(key + ".name", "'" + item.name.value + "' twice", "each name once");
+                this->add(this->place_of(kind, items, item), "name", "the name for the second time",
+                          "each name once");
             }
         }
     }
 
-    void known(const std::string& key, const std::string& name, const std::set<std::string>& names)
+    void known(const place& where, const std::string& key, const std::string& name,
+               const std::set<std::string>& names)
     {
         if (name.empty() || names.contains(name)) {
             return;
@@ -163,28 +186,43 @@
         for (const auto& one : names) {
             allowed += allowed.empty() ? one : " | " + one;
         }
-        this->add(key, "'" + name + "'", allowed.empty() ? "a name that is described" : allowed);
+        this->add(where, key, "'" + name + "'",
+                  allowed.empty() ? "a name that is described" : allowed);
     }
 
     void services()
     {
         const auto tenants = names_of(this->all.tenants);
         for (const auto& one : this->all.services) {
-            const auto path = "service '" + one.name.value + "'";
-            this->known(path + ".tenant", one.tenant.value, tenants);
-            this->unique(path + ".class", one.classes);
-            for (const auto& pin : one.pins) {
-                this->pin_target(path + ".pin", one, pin);
+            const auto where = this->place_of("service", this->all.services, one);
+            this->known(where, "tenant", one.tenant.value, tenants);
+            this->classes(where, one);
+            this->pins(where, one);
+        }
+    }
+
+    void classes(const place& where, const service& one)
+    {
+        std::set<class_id> seen;
+        for (const auto& item : one.classes) {
+            if (!seen.insert(item.name).second) {
+                this->add(where, "class", "'" + item.name.value + "' twice", "each class once");
             }
         }
     }
 
-    void pin_target(const std::string& key, const service& one, const key_pin& pin)
+    void pins(const place& where, const service& one)
     {
-        const auto* server = find_server(this->all, pin.server);
-        if (server == nullptr || server->service != one.name) {
-            this->add(key, "'" + pin.server.value + "'",
-                      "a backend server of service '" + one.name.value + "'");
+        std::set<std::string> seen;
+        for (const auto& pin : one.pins) {
+            const auto* server = find_server(this->all, pin.server);
+            if (server == nullptr || server->service != one.name) {
+                this->add(where, "pin", "'" + pin.server.value + "'",
+                          "a backend server of service '" + one.name.value + "'");
+            }
+            if (!seen.insert(pin.key).second) {
+                this->add(where, "pin", "key '" + pin.key + "' twice", "each key once");
+            }
         }
     }
 
@@ -192,23 +230,31 @@
     {
         const auto services = names_of(this->all.services);
         const auto domains = names_of(this->all.failure_domains);
+        std::map<std::string, std::string> addresses;
         for (const auto& one : this->all.backend_servers) {
-            const auto path = "backend_server '" + one.name.value + "'";
-            this->known(path + ".service", one.service.value, services);
-            this->known(path + ".failure_domain", one.failure_domain.value, domains);
+            const auto where = this->place_of("backend_server", this->all.backend_servers, one);
+            this->known(where, "service", one.service.value, services);
+            this->known(where, "failure_domain", one.failure_domain.value, domains);
+            const auto [taken, is_new] = addresses.emplace(one.address, one.name.value);
+            if (!is_new && !one.address.empty()) {
+                this->add(where, "address", "'" + one.address + "', as '" + taken->second + "'",
+                          "an address of its own");
+            }
         }
     }
 
     const description& all;
     const std::string& file;
+    const line_map& lines;
     fault_list& faults;
 };
 
 template <class Parse>
-auto parse_tables(toml_reader& in, std::string_view key, Parse parse)
+auto parse_tables(toml_reader& in, const std::string& key, Parse parse, line_map& lines)
 {
     std::vector<decltype(parse(in))> out;
     for (auto& item : in.tables(key)) {
+        lines[key].push_back(item.line());
         out.push_back(parse(item));
     }
     return out;
@@ -219,25 +265,18 @@
 parsed_description parse_description(std::string_view toml, const std::string& file)
 {
     parsed_description out;
-    toml::table root;
-    try {
-        root = toml::parse(toml, file);
-    }
-    catch (const toml::parse_error& error) {
-        out.faults.push_back({.file = file,
-                              .line = error.source().begin.line,
-                              .key = "(syntax)",
-                              .found = std::string{error.description()},
-                              .allowed = "well-formed TOML"});
+    const auto root = parse_toml(toml, file, out.faults);
+    if (!root) {
         return out;
     }
-    toml_reader in{root, "", file, out.faults};
-    out.value.failure_domains = parse_tables(in, "failure_domain", parse_failure_domain);
-    out.value.tenants = parse_tables(in, "tenant", parse_tenant);
-    out.value.services = parse_tables(in, "service", parse_service);
-    out.value.backend_servers = parse_tables(in, "backend_server", parse_server);
+    line_map lines;
+    toml_reader in{*root, "", file, out.faults};
+    out.value.failure_domains = parse_tables(in, "failure_domain", parse_failure_domain, lines);
+    out.value.tenants = parse_tables(in, "tenant", parse_tenant, lines);
+    out.value.services = parse_tables(in, "service", parse_service, lines);
+    out.value.backend_servers = parse_tables(in, "backend_server", parse_server, lines);
     in.reject_unknown_keys();
-    cross_check{out.value, file, out.faults}.run();
+    cross_check{out.value, file, lines, out.faults}.run();
     return out;
 }
 
--- a/src/host_settings.cpp
+++ b/src/host_settings.cpp
@@ -77,22 +77,14 @@
 parsed_host_settings parse_host_settings(std::string_view toml, const std::string& file)
 {
     parsed_host_settings out;
-    toml::table root;
-    try {
-        root = toml::parse(toml, file);
-    }
-    catch (const toml::parse_error& error) {
-        out.faults.push_back({.file = file,
-                              .line = error.source().begin.line,
-                              .key = "(syntax)",
-                              .found = std::string{error.description()},
-                              .allowed = "well-formed TOML"});
+    const auto root = parse_toml(toml, file, out.faults);
+    if (!root) {
         return out;
     }
-    toml_reader in{root, "", file, out.faults};
+    toml_reader in{*root, "", file, out.faults};
     auto& value = out.value;
-    value.name = {in.text("name")};
-    value.failure_domain = {in.text("failure_domain")};
+    value.name = {in.name("name")};
+    value.failure_domain = {in.name("failure_domain")};
     value.caller_address = in.address("caller_address");
     value.forward_address = in.address("forward_address");
     value.peer_address = in.address("peer_address");
--- a/src/toml_reader.cpp
+++ b/src/toml_reader.cpp
@@ -1,6 +1,7 @@
 #include "figreach/toml_reader.h"
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <optional>
 #include <sstream>
@@ -54,10 +55,37 @@
     return !failed && number.is_v6() == bracketed ? std::optional{number} : std::nullopt;
 }
 
+constexpr std::size_t longest_name = 64;
+constexpr auto name_form = "at most 64 letters, digits, '.', '_' and '-'";
+
+bool is_name(std::string_view text)
+{
+    const auto allowed = [](unsigned char byte) {
+        return std::isalnum(byte) != 0 || byte == '.' || byte == '_' || byte == '-';
+    };
+    return text.size() <= longest_name && std::ranges::all_of(text, allowed);
+}
+
 constexpr auto address_form = "IP number and port, for example 127.0.0.1:9000 or [::1]:9000";
 
 } // namespace
 
+std::optional<toml::table> parse_toml(std::string_view toml, const std::string& file,
+                                      fault_list& faults)
+{
+    try {
+        return toml::parse(toml, file);
+    }
+    catch (const toml::parse_error& error) {
+        faults.push_back({.file = file,
+                          .line = error.source().begin.line,
+                          .key = "(syntax)",
+                          .found = std::string{error.description()},
+                          .allowed = "well-formed TOML"});
+        return std::nullopt;
+    }
+}
+
 bool is_address(std::string_view text)
 {
     return number_of(text).has_value();
@@ -81,6 +109,11 @@
     return this->table->get(key);
 }
 
+unsigned toml_reader::line() const
+{
+    return this->table->source().begin.line;
+}
+
 unsigned toml_reader::line_of(std::string_view key) const
 {
     const auto* node = this->table->get(key);
@@ -113,6 +146,16 @@
     return *value;
 }
 
+std::string toml_reader::name(std::string_view key)
+{
+    const auto before = this->faults->size();
+    auto value = this->text(key);
+    if (this->faults->size() == before && !is_name(value)) {
+        this->add_fault(key, "'" + value + "'", name_form);
+    }
+    return value;
+}
+
 std::string toml_reader::text_or(std::string_view key, std::string_view fallback)
 {
     if (!this->table->contains(key)) {
