Test the operators' RPC over loopback: token, certificate, lost answer, store down, watch

Cause: token and certificate checks, and the loop that carries a change out, had no test. Change: operator_server_test with an in-process etcd key-value service of one key; certificates are made at run time. The first event of a watch was lost when no description was in force; it is sent. Conclusion: changes over RPC hold as far as tested on loopback.

--- a/src/description_diff.cpp
+++ b/src/description_diff.cpp
@@ -1,6 +1,8 @@
 #include "figreach/description_diff.h"
 
+#include <initializer_list>
 #include <map>
+#include <string_view>
 
 namespace figreach {
 
@@ -11,6 +13,15 @@
 /// Items of one kind by name.
 using item_map = std::map<std::string, field_map>;
 
+std::string joined(std::initializer_list<std::string_view> parts)
+{
+    std::string out;
+    for (const auto part : parts) {
+        out += part;
+    }
+    return out;
+}
+
 std::string to_text(bool value)
 {
     return value ? "true" : "false";
@@ -97,7 +108,7 @@
         const auto old_value = value_in(before, name);
         const auto new_value = value_in(after, name);
         if (old_value != new_value) {
-            out.push_back(item + "." + name + ": " + old_value + " -> " + new_value);
+            out.push_back(joined({item, ".", name, ": ", old_value, " -> ", new_value}));
         }
     }
 }
@@ -109,7 +120,7 @@
     const auto old_items = items_of(before);
     const auto new_items = items_of(after);
     for (const auto& [name, fields] : old_items) {
-        const auto path = kind + " '" + name + "'";
+        const auto path = joined({kind, " '", name, "'"});
         const auto found = new_items.find(name);
         if (found == new_items.end()) {
             out.push_back(path + " removed");
@@ -119,7 +130,7 @@
     }
     for (const auto& [name, fields] : new_items) {
         if (!old_items.contains(name)) {
-            out.push_back(kind + " '" + name + "' added");
+            out.push_back(joined({kind, " '", name, "' added"}));
         }
     }
 }
--- a/src/rpc/operator_server.cpp
+++ b/src/rpc/operator_server.cpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <fstream>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <sstream>
 #include <stdexcept>
@@ -163,7 +164,7 @@
                      wire::GetAnswer* answer) override
     {
         description_history history;
-        const auto status = this->read_history(history);
+        auto status = this->read_history(history);
         const auto* record = this->record_of(history, request->version());
         if (status.ok() && record != nullptr) {
             answer->set_found(true);
@@ -177,7 +178,7 @@
                          wire::HistoryAnswer* answer) override
     {
         description_history history;
-        const auto status = this->read_history(history);
+        auto status = this->read_history(history);
         for (const auto& record : history) {
             *answer->add_entries() = to_wire(record);
         }
@@ -190,7 +191,7 @@
         const auto submitted = parse_description(request->description_toml(), "description");
         fill(*answer->mutable_faults(), submitted.faults);
         description_history history;
-        const auto status = this->read_history(history);
+        auto status = this->read_history(history);
         const auto* record = this->record_of(history, request->against_version());
         if (!status.ok() || record == nullptr) {
             return status;
@@ -237,14 +238,14 @@
         if (slot.count > most_watches) {
             return {grpc::StatusCode::RESOURCE_EXHAUSTED, "too many watches at this entry host"};
         }
-        std::string last;
+        std::optional<std::string> last;
         while (!this->stopping && !context->IsCancelled()) {
             const auto event = this->watch_event();
-            const auto bytes = event.SerializeAsString();
+            auto bytes = event.SerializeAsString();
             if (bytes != last && !out->Write(event)) {
                 break;
             }
-            last = bytes;
+            last = std::move(bytes);
             std::this_thread::sleep_for(watch_interval);
         }
         return grpc::Status::OK;
@@ -266,7 +267,7 @@
     grpc::Status change(const grpc::ServerContext& context, configuration_edit edit,
                         const Request& request, bool dry_run, wire::ApplyAnswer& answer)
     {
-        const auto refusal = this->refusal_of(context);
+        auto refusal = this->refusal_of(context);
         if (!refusal.ok()) {
             return refusal;
         }
--- a/test/configuration_world.h
+++ b/test/configuration_world.h
@@ -197,7 +197,8 @@
 
     bool in_store(const std::string& writer) const
     {
-        for (const auto& record : *decode_history(this->store.value)) {
+        const auto history = decode_history(this->store.value).value();
+        for (const auto& record : history) {
             if (record.writer == writer) {
                 return true;
             }
--- /dev/null
+++ b/test/rpc/fake_store.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <stdexcept>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <grpcpp/grpcpp.h>
+
+#include "etcd.grpc.pb.h"
+
+/// A loopback address that nobody listens at.
+inline std::string unused_address()
+{
+    boost::asio::io_context io;
+    const boost::asio::ip::tcp::endpoint any{boost::asio::ip::address_v4::loopback(), 0};
+    const boost::asio::ip::tcp::acceptor acceptor{io, any};
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+/// A key-value service that holds one key, over the published etcd v3 API, with faults.
+class fake_store final : public etcdserverpb::KV::Service {
+public:
+    explicit fake_store(const std::string& address)
+    {
+        grpc::ServerBuilder builder;
+        builder.AddListeningPort(address, grpc::InsecureServerCredentials());
+        builder.RegisterService(this);
+        this->server = builder.BuildAndStart();
+        if (!this->server) {
+            throw std::runtime_error{"cannot listen at " + address};
+        }
+    }
+
+    grpc::Status Range(grpc::ServerContext*, const etcdserverpb::RangeRequest*,
+                       etcdserverpb::RangeResponse* answer) override
+    {
+        if (this->down) {
+            return {grpc::StatusCode::UNAVAILABLE, "down"};
+        }
+        const std::lock_guard lock{this->guard};
+        this->fill(*answer);
+        return grpc::Status::OK;
+    }
+
+    grpc::Status Txn(grpc::ServerContext*, const etcdserverpb::TxnRequest* request,
+                     etcdserverpb::TxnResponse* answer) override
+    {
+        if (this->down) {
+            return {grpc::StatusCode::UNAVAILABLE, "down"};
+        }
+        const std::lock_guard lock{this->guard};
+        const bool matches = request->compare(0).mod_revision() == this->value.mod_revision();
+        answer->set_succeeded(matches);
+        if (matches) {
+            const auto& put = request->success(0).request_put();
+            this->value.set_key(put.key());
+            this->value.set_value(put.value());
+            this->value.set_mod_revision(this->value.mod_revision() + 1);
+        }
+        else {
+            this->fill(*answer->add_responses()->mutable_response_range());
+        }
+        answer->mutable_header()->set_revision(this->value.mod_revision());
+        const bool lose = this->answers_to_lose > 0 && this->answers_to_lose-- > 0;
+        return lose ? grpc::Status{grpc::StatusCode::UNAVAILABLE, "lost"} : grpc::Status::OK;
+    }
+
+    std::atomic<bool> down{false};
+    std::atomic<int> answers_to_lose{0}; ///< writes that take effect without an answer
+
+private:
+    void fill(etcdserverpb::RangeResponse& answer) const
+    {
+        if (this->value.mod_revision() != 0) {
+            *answer.add_kvs() = this->value;
+        }
+    }
+
+    std::mutex guard;
+    etcdserverpb::KeyValue value;
+    std::unique_ptr<grpc::Server> server;
+};
