--- /dev/null
+++ b/src/programs/figreach-load/client_pool.cpp
@@ -0,0 +1,60 @@
+#include "client_pool.h"
+
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace figreach::load {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+
+} // namespace
+
+client_pool::client_pool(asio::io_context& io_, std::string address_, std::uint32_t most_)
+    : io{io_},
+      address{std::move(address_)},
+      most{most_},
+      freed{io_, asio::steady_timer::time_point::max()}
+{
+}
+
+asio::awaitable<std::unique_ptr<upstream_connection>> client_pool::take(milliseconds connect_limit)
+{
+    while (this->used >= this->most) {
+        co_await this->freed.async_wait(no_throw);
+    }
+    ++this->used;
+    if (!this->idle.empty()) {
+        auto kept = std::move(this->idle.back());
+        this->idle.pop_back();
+        kept->reused = true;
+        co_return kept;
+    }
+    auto fresh = std::make_unique<upstream_connection>(
+        upstream_connection{.stream = boost::beast::tcp_stream{this->io}, .buffer = {}});
+    fresh->stream.expires_after(connect_limit);
+    const auto endpoint = to_endpoint(this->address);
+    auto [failed] = co_await fresh->stream.async_connect(endpoint, no_throw);
+    if (failed) {
+        this->give_back(nullptr);
+        co_return nullptr;
+    }
+    fresh->stream.socket().set_option(asio::ip::tcp::no_delay{true}, failed);
+    co_return fresh;
+}
+
+void client_pool::give_back(std::unique_ptr<upstream_connection> connection)
+{
+    --this->used;
+    if (connection) {
+        this->idle.push_back(std::move(connection));
+    }
+    this->freed.cancel_one();
+}
+
+} // namespace figreach::load
--- /dev/null
+++ b/src/programs/figreach-load/latency_histogram.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <boost/histogram/axis/regular.hpp>
+#include <boost/histogram/make_histogram.hpp>
+
+#include "figreach/time.h"
+
+namespace figreach::load {
+
+/// Latencies from 10 microseconds to 100 seconds in bins that are 1.6 % wide.
+class latency_histogram {
+public:
+    void add(nanoseconds latency);
+    void merge(const latency_histogram& other);
+    /// Upper edge of the bin that holds a quantile; zero when the histogram is empty.
+    [[nodiscard]] nanoseconds quantile(double share) const;
+
+private:
+    static constexpr unsigned bins = 1000;
+    static constexpr double least_ms = 0.01;
+    static constexpr double most_ms = 100000.0;
+
+    using log_axis =
+        boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+    using counts = decltype(boost::histogram::make_histogram(log_axis{}));
+
+    counts data = boost::histogram::make_histogram(log_axis{bins, least_ms, most_ms});
+};
+
+} // namespace figreach::load
--- /dev/null
+++ b/src/programs/figreach-load/load_worker.cpp
@@ -0,0 +1,231 @@
+#include "load_worker.h"
+
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json.hpp>
+
+#include "figreach/error_kind.h"
+#include "figreach/request_head.h"
+
+namespace figreach::load {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using response_parser = http::response_parser<http::string_body>;
+
+namespace {
+
+constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+constexpr milliseconds connect_limit{500};
+constexpr milliseconds answer_allowance{3000}; ///< beyond the deadline
+constexpr milliseconds repeat_delay{50};
+constexpr unsigned http_1_1 = 11;
+
+std::string text(const json::object& in, const char* key)
+{
+    const auto* found = in.if_contains(key);
+    return found != nullptr && found->is_string() ? std::string{found->get_string()}
+                                                  : std::string{};
+}
+
+/// Whether a body says that it answers this request. A repeat may get the first one's answer.
+bool is_own_answer(const request_record& record, const std::string& body)
+{
+    boost::system::error_code failed;
+    const auto parsed = json::parse(body, failed);
+    if (failed || !parsed.is_object()) {
+        return false;
+    }
+    const auto& in = parsed.get_object();
+    const bool same_request = record.idempotency_key.empty()
+                                  ? text(in, "request") == record.id
+                                  : text(in, "idempotency_key") == record.idempotency_key;
+    return same_request && text(in, "key") == record.key;
+}
+
+request_ending ending_of(const request_record& record, const stream_settings& stream,
+                         const http::response<http::string_body>& answer)
+{
+    const auto outcome = answer[field::outcome];
+    if (answer.result() == http::status::ok) {
+        const bool whole = answer.body().size() >= stream.answer_bytes;
+        if (!whole) {
+            return request_ending::shortened_answer;
+        }
+        return is_own_answer(record, answer.body()) ? request_ending::answered
+                                                    : request_ending::foreign_answer;
+    }
+    return outcome == name_of(run_state::not_run) ? request_ending::not_run
+                                                  : request_ending::unknown;
+}
+
+http::request<http::string_body> make_request(const request_record& record,
+                                              const stream_settings& stream,
+                                              const load_settings& settings, unsigned attempt)
+{
+    const bool post = !record.idempotency_key.empty();
+    http::request<http::string_body> out{post ? http::verb::post : http::verb::get, "/", http_1_1};
+    if (stream.answer_bytes > 0) {
+        out.target("/?bytes=" + std::to_string(stream.answer_bytes));
+    }
+    out.set(http::field::host, "figreach");
+    out.set(field::service, stream.service);
+    out.set(field::key, record.key);
+    out.set(field::request_id, record.id);
+    out.set(field::deadline, std::to_string(settings.deadline.count()));
+    if (!stream.tenant.empty()) {
+        out.set(field::tenant, stream.tenant);
+    }
+    if (!stream.request_class.empty()) {
+        out.set(field::request_class, stream.request_class);
+    }
+    if (post) {
+        out.set(field::idempotency_key, record.idempotency_key);
+        out.set(field::attempt, std::to_string(attempt));
+        out.body().assign(stream.upload_bytes, 'u');
+    }
+    out.prepare_payload();
+    return out;
+}
+
+} // namespace
+
+load_worker::load_worker(const load_settings& settings_, std::uint32_t number_)
+    : settings{settings_},
+      number{number_},
+      random{settings_.seed + number_},
+      picker{settings_.keys, settings_.zipf_exponent, settings_.hot_set_lifetime}
+{
+    for (const auto& address : settings_.hosts) {
+        this->pools.push_back(
+            std::make_unique<client_pool>(this->io, address, settings_.connections));
+    }
+}
+
+void load_worker::run()
+{
+    this->begun = monotonic_time::clock::now();
+    for (std::uint32_t stream = 0; stream < this->settings.streams.size(); ++stream) {
+        asio::co_spawn(this->io, this->arrive(stream), asio::detached);
+    }
+    this->io.run();
+}
+
+const std::vector<request_record>& load_worker::records() const
+{
+    return this->done;
+}
+
+asio::awaitable<void> load_worker::arrive(std::uint32_t stream)
+{
+    const auto rate = this->settings.streams[stream].rate / this->settings.threads;
+    const auto most = this->settings.most_requests / this->settings.threads;
+    std::exponential_distribution<double> gap{rate};
+    auto intended = this->begun;
+    asio::steady_timer timer{this->io};
+    for (;;) {
+        const std::chrono::duration<double> wait{gap(this->random)};
+        intended += std::chrono::duration_cast<nanoseconds>(wait);
+        if (intended >= this->begun + this->settings.duration || this->planned >= most) {
+            co_return;
+        }
+        if (intended > monotonic_time::clock::now()) {
+            timer.expires_at(intended);
+            co_await timer.async_wait(no_throw);
+        }
+        auto what = this->plan(stream, intended);
+        asio::co_spawn(this->io, this->send(std::move(what)), asio::detached);
+    }
+}
+
+load_worker::planned_request load_worker::plan(std::uint32_t stream, monotonic_time intended)
+{
+    const auto& from = this->settings.streams[stream];
+    planned_request out;
+    out.intended = intended;
+    out.host = this->random() % this->pools.size();
+    auto& record = out.record;
+    record.stream = stream;
+    record.keyed = from.keyed;
+    record.id = std::to_string(this->settings.seed) + "-" + std::to_string(this->number) + "-" +
+                std::to_string(this->planned++);
+    record.key = from.service + "-" +
+                 std::to_string(this->picker.pick(this->random, intended - this->begun));
+    if (this->chance() < from.posts) {
+        record.idempotency_key = "once-" + record.id;
+    }
+    return out;
+}
+
+asio::awaitable<void> load_worker::send(planned_request what)
+{
+    const bool repeated = !what.record.idempotency_key.empty() && what.attempt == 1 &&
+                          this->chance() < this->settings.repeats;
+    if (repeated) {
+        asio::co_spawn(this->io, this->repeat(what), asio::detached);
+    }
+    std::unique_ptr<upstream_connection> connection;
+    for (std::size_t tried = 0; !connection && tried < this->pools.size(); ++tried) {
+        what.host = (what.host + (tried > 0 ? 1 : 0)) % this->pools.size();
+        connection = co_await this->pools[what.host]->take(connect_limit);
+    }
+    if (connection) {
+        const bool keep = co_await this->exchange(what, *connection);
+        if (!keep) {
+            connection.reset();
+        }
+        this->pools[what.host]->give_back(std::move(connection));
+    }
+    what.record.latency = monotonic_time::clock::now() - what.intended;
+    this->done.push_back(std::move(what.record));
+}
+
+asio::awaitable<void> load_worker::repeat(planned_request what)
+{
+    asio::steady_timer pause{this->io, repeat_delay};
+    co_await pause.async_wait(no_throw);
+    what.record.id += "-again";
+    what.attempt = 2;
+    what.intended = monotonic_time::clock::now();
+    what.host = (what.host + 1) % this->pools.size();
+    co_await this->send(std::move(what));
+}
+
+asio::awaitable<bool> load_worker::exchange(planned_request& what, upstream_connection& connection)
+{
+    const auto& stream = this->settings.streams[what.record.stream];
+    const auto request = make_request(what.record, stream, this->settings, what.attempt);
+    connection.stream.expires_after(this->settings.deadline + answer_allowance);
+    const auto [unsent, sent] = co_await http::async_write(connection.stream, request, no_throw);
+    if (unsent) {
+        co_return false;
+    }
+    response_parser parser;
+    parser.body_limit(boost::none);
+    const auto [failed, count] =
+        co_await http::async_read(connection.stream, connection.buffer, parser, no_throw);
+    if (failed) {
+        co_return false;
+    }
+    const auto& answer = parser.get();
+    what.record.status = answer.result_int();
+    what.record.error = std::string{answer[field::error]};
+    what.record.ending = ending_of(what.record, stream, answer);
+    co_return answer.keep_alive();
+}
+
+double load_worker::chance()
+{
+    return std::uniform_real_distribution<double>{0.0, 1.0}(this->random);
+}
+
+} // namespace figreach::load
--- /dev/null
+++ b/src/programs/figreach-load/load_worker.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "client_pool.h"
+#include "key_picker.h"
+#include "load_settings.h"
+#include "request_record.h"
+
+namespace figreach::load {
+
+/// One thread of the load generator: sends its share of the arrivals, whatever the answers.
+class load_worker {
+public:
+    /// `settings` outlives the worker.
+    load_worker(const load_settings& settings, std::uint32_t number);
+
+    /// Returns when every request has ended.
+    void run();
+    [[nodiscard]] const std::vector<request_record>& records() const;
+
+private:
+    struct planned_request {
+        request_record record;
+        monotonic_time intended{};
+        std::size_t host = 0;
+        unsigned attempt = 1;
+    };
+
+    boost::asio::awaitable<void> arrive(std::uint32_t stream);
+    boost::asio::awaitable<void> send(planned_request what);
+    boost::asio::awaitable<void> repeat(planned_request what);
+    boost::asio::awaitable<bool> exchange(planned_request& what, upstream_connection& connection);
+    [[nodiscard]] planned_request plan(std::uint32_t stream, monotonic_time intended);
+    [[nodiscard]] double chance();
+
+    const load_settings& settings;
+    std::uint32_t number;
+    boost::asio::io_context io{1};
+    std::mt19937_64 random;
+    key_picker picker;
+    std::vector<std::unique_ptr<client_pool>> pools;
+    std::vector<request_record> done;
+    std::uint64_t planned = 0;
+    monotonic_time begun{};
+};
+
+} // namespace figreach::load
--- a/src/programs/figreach-load/main.cpp
+++ b/src/programs/figreach-load/main.cpp
@@ -1,48 +1,179 @@
-// Load generator. Thin first version: one connection, a fixed number of requests, one after
-// another.
+// Load generator: open-loop arrivals, latency by class, and a count of broken promises.
 
 #include <iostream>
+#include <memory>
+#include <stdexcept>
+#include <thread>
+#include <vector>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
+#include <boost/program_options.hpp>
 
-#include "figreach/request_head.h"
-#include "figreach/runtime/connection_pool.h"
+#include "backend_records.h"
+#include "load_report.h"
+#include "load_settings.h"
+#include "load_worker.h"
 
-namespace http = boost::beast::http;
+#include "figreach/toml_reader.h"
+
+namespace options = boost::program_options;
+namespace load = figreach::load;
+
+namespace {
+
+constexpr int exit_ok = 0;
+constexpr int exit_broken_promise = 1;
+constexpr int exit_usage = 2;
+constexpr int exit_not_checked = 3;
+
+constexpr auto usage = R"(figreach-load --host ADDRESS... --stream FIELDS... [--backend ADDRESS...]
+
+Sends requests at times that do not depend on the answers. With --backend it fetches what each
+backend server ran and counts broken promises: a key run by a wrong owner, an answer to another
+request, a shortened answer, a refusal "not_run" that ran, a non-idempotent request that ran twice.
+
+Exit status: 0 no promise broken; 1 a promise was broken; 2 wrong usage; 3 nothing was answered, or
+the record of a backend server is missing or incomplete.
+
+FIELDS: service=NAME[,tenant=NAME][,class=NAME][,rate=N][,posts=SHARE][,keyed=0|1]
+        [,answer-bytes=N][,upload-bytes=N]
+
+Options)";
+
+using texts = std::vector<std::string>;
+
+options::options_description described_options(load::load_settings& out)
+{
+    options::options_description all{usage};
+    auto add = all.add_options();
+    add("help", "print this text");
+    add("host", options::value(&out.hosts)->composing(), "callers' address of an entry host");
+    add("backend", options::value(&out.backends)->composing(), "address of a backend server");
+    add("stream", options::value<texts>()->composing(), "requests of one class, see above");
+    add("seconds", options::value<double>()->default_value(10.0),
+        "time during which requests arrive");
+    add("most", options::value(&out.most_requests)->default_value(out.most_requests),
+        "most requests");
+    add("threads", options::value(&out.threads)->default_value(out.threads), "threads");
+    add("connections", options::value(&out.connections)->default_value(out.connections),
+        "connections of one thread to one entry host");
+    add("seed", options::value(&out.seed)->default_value(out.seed), "seed of all random choices");
+    add("keys", options::value(&out.keys)->default_value(out.keys), "number of keys");
+    add("zipf", options::value(&out.zipf_exponent)->default_value(out.zipf_exponent),
+        "exponent of the key popularity");
+    add("hot-set-seconds", options::value<double>()->default_value(2.0),
+        "time after which other keys are popular");
+    add("deadline-ms", options::value<std::int64_t>()->default_value(out.deadline.count()),
+        "deadline of each request");
+    add("repeats", options::value(&out.repeats)->default_value(out.repeats),
+        "share of the non-idempotent requests that are sent again through another host");
+    add("json", "print the summary as JSON");
+    return all;
+}
+
+figreach::milliseconds to_ms(double seconds)
+{
+    return std::chrono::duration_cast<figreach::milliseconds>(
+        std::chrono::duration<double>{seconds});
+}
+
+void complete(load::load_settings& out, const options::variables_map& given)
+{
+    for (const auto& text : given["stream"].as<texts>()) {
+        out.streams.push_back(load::parse_stream(text));
+    }
+    out.duration = to_ms(given["seconds"].as<double>());
+    out.hot_set_lifetime = to_ms(given["hot-set-seconds"].as<double>());
+    out.deadline = figreach::milliseconds{given["deadline-ms"].as<std::int64_t>()};
+    const bool bounded = out.threads > 0 && out.connections > 0 && out.keys > 0 &&
+                         out.hot_set_lifetime.count() > 0 && out.duration.count() > 0;
+    if (!bounded) {
+        throw std::invalid_argument{"threads, connections, keys and times must be above zero"};
+    }
+    for (const auto* list : {&out.hosts, &out.backends}) {
+        for (const auto& address : *list) {
+            if (!figreach::is_address(address)) {
+                throw std::invalid_argument{"'" + address + "' is no IP number with a port"};
+            }
+        }
+    }
+}
+
+std::vector<load::request_record> send_all(const load::load_settings& settings)
+{
+    std::vector<std::unique_ptr<load::load_worker>> workers;
+    std::vector<std::thread> threads;
+    for (std::uint32_t i = 0; i < settings.threads; ++i) {
+        workers.push_back(std::make_unique<load::load_worker>(settings, i));
+    }
+    for (const auto& one : workers) {
+        threads.emplace_back([&one] { one->run(); });
+    }
+    for (auto& one : threads) {
+        one.join();
+    }
+    std::vector<load::request_record> out;
+    for (const auto& one : workers) {
+        out.insert(out.end(), one->records().begin(), one->records().end());
+    }
+    return out;
+}
+
+load::load_report check(const load::load_settings& settings,
+                        const std::vector<load::request_record>& records)
+{
+    load::load_report out;
+    out.duration = settings.duration;
+    out.streams = load::summarize(settings, records);
+    std::vector<load::server_execution> executions;
+    for (const auto& address : settings.backends) {
+        const auto found = load::fetch_backend(address);
+        out.servers_not_checked += found && found->complete ? 0 : 1;
+        if (found) {
+            executions.insert(executions.end(), found->executions.begin(), found->executions.end());
+            out.server_counts.push_back(found->counts);
+        }
+    }
+    out.promises = load::check_promises(records, std::move(executions));
+    return out;
+}
+
+int verdict(const load::load_settings& settings, const load::load_report& report)
+{
+    if (report.promises.broken() > 0) {
+        return exit_broken_promise;
+    }
+    const bool records_incomplete =
+        report.servers_not_checked > 0 || report.promises.answered_without_execution > 0;
+    const bool checked = settings.backends.empty() || !records_incomplete;
+    return report.promises.answered > 0 && checked ? exit_ok : exit_not_checked;
+}
+
+int run(const load::load_settings& settings, bool as_json)
+{
+    const auto report = check(settings, send_all(settings));
+    std::cout << (as_json ? load::to_json(report) + "\n" : load::to_table(report));
+    return verdict(settings, report);
+}
+
+} // namespace
 
 int main(int argc, char** argv)
 {
-    if (argc != 4) {
-        std::cerr << "figreach-load ADDRESS SERVICE COUNT\n";
-        return 2;
-    }
-    boost::asio::io_context io;
-    boost::beast::tcp_stream stream{io};
-    stream.connect(figreach::to_endpoint(argv[1]));
-    boost::beast::flat_buffer buffer;
-    int wrong = 0;
-    const int count = std::atoi(argv[3]);
-    for (int i = 0; i < count; ++i) {
-        http::request<http::string_body> request{http::verb::get, "/plan", 11};
-        const auto key = "key-" + std::to_string(i);
-        request.set(http::field::host, argv[1]);
-        request.set(figreach::field::service, argv[2]);
-        request.set(figreach::field::key, key);
-        request.set(figreach::field::request_id, std::to_string(i));
-        http::write(stream, request);
-        http::response<http::string_body> answer;
-        http::read(stream, buffer, answer);
-        const bool right = answer.result_int() == 200 &&
-                           answer.body().find("\"" + key + "\"") != std::string::npos;
-        if (!right && ++wrong < 10) {
-            std::cout << answer << '\n';
+    try {
+        load::load_settings settings;
+        const auto described = described_options(settings);
+        options::variables_map given;
+        options::store(options::parse_command_line(argc, argv, described), given);
+        options::notify(given);
+        if (given.contains("help") || settings.hosts.empty() || !given.contains("stream")) {
+            std::cout << described;
+            return given.contains("help") ? exit_ok : exit_usage;
         }
+        complete(settings, given);
+        return run(settings, given.contains("json"));
+    }
+    catch (const std::exception& error) {
+        std::cerr << "figreach-load: " << error.what() << '\n';
+        return exit_usage;
     }
-    std::cout << count - wrong << " of " << count << " answered\n";
-    return wrong == 0 ? 0 : 1;
 }
--- /dev/null
+++ b/src/programs/figreach-load/promise_check.cpp
@@ -0,0 +1,101 @@
+#include "promise_check.h"
+
+#include <algorithm>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace figreach::load {
+
+namespace {
+
+using execution_list = std::vector<const server_execution*>;
+
+void check_answers(promise_counts& out, const std::vector<request_record>& requests)
+{
+    for (const auto& one : requests) {
+        out.answered += one.ending == request_ending::answered ? 1 : 0;
+        out.foreign_answers += one.ending == request_ending::foreign_answer ? 1 : 0;
+        out.shortened_answers += one.ending == request_ending::shortened_answer ? 1 : 0;
+    }
+}
+
+/// `executions` of one key, in order of their start.
+void check_owners(promise_counts& out, const execution_list& executions)
+{
+    const server_execution* before = nullptr;
+    for (const auto* one : executions) {
+        if (before != nullptr) {
+            const bool went_back = one->fence < before->fence;
+            const bool other = one->server != before->server;
+            const bool shared_fence = other && one->fence == before->fence;
+            out.wrong_owner += went_back || shared_fence ? 1 : 0;
+            out.overlapping_runs += other && before->end_ns > one->start_ns ? 1 : 0;
+        }
+        before = one;
+    }
+}
+
+std::unordered_map<std::string, execution_list>
+by_key(const std::vector<server_execution>& executions,
+       const std::unordered_set<std::string>& keyed_requests)
+{
+    std::unordered_map<std::string, execution_list> out;
+    for (const auto& one : executions) {
+        if (keyed_requests.contains(one.request_id)) {
+            out[one.key].push_back(&one);
+        }
+    }
+    return out;
+}
+
+void check_runs(promise_counts& out, const std::vector<request_record>& requests,
+                const std::vector<server_execution>& executions)
+{
+    std::unordered_set<std::string> run_requests;
+    std::unordered_map<std::string, std::uint64_t> runs_by_idempotency_key;
+    for (const auto& one : executions) {
+        run_requests.insert(one.request_id);
+        if (!one.idempotency_key.empty()) {
+            ++runs_by_idempotency_key[one.idempotency_key];
+        }
+    }
+    for (const auto& [key, runs] : runs_by_idempotency_key) {
+        out.ran_twice += runs > 1 ? 1 : 0;
+    }
+    for (const auto& one : requests) {
+        const bool ran = run_requests.contains(one.id);
+        out.not_run_that_ran += one.ending == request_ending::not_run && ran ? 1 : 0;
+        const bool replayed = runs_by_idempotency_key.contains(one.idempotency_key);
+        const bool answered = one.ending == request_ending::answered;
+        out.answered_without_execution += answered && !ran && !replayed ? 1 : 0;
+    }
+}
+
+} // namespace
+
+std::uint64_t promise_counts::broken() const
+{
+    return this->wrong_owner + this->foreign_answers + this->shortened_answers +
+           this->not_run_that_ran + this->ran_twice;
+}
+
+promise_counts check_promises(const std::vector<request_record>& requests,
+                              std::vector<server_execution> executions)
+{
+    promise_counts out;
+    std::unordered_set<std::string> keyed_requests;
+    for (const auto& one : requests) {
+        if (one.keyed) {
+            keyed_requests.insert(one.id);
+        }
+    }
+    std::ranges::stable_sort(executions, {}, &server_execution::start_ns);
+    check_answers(out, requests);
+    for (const auto& [key, list] : by_key(executions, keyed_requests)) {
+        check_owners(out, list);
+    }
+    check_runs(out, requests, executions);
+    return out;
+}
+
+} // namespace figreach::load
--- a/src/programs/figreach-standin/backend.cpp
+++ b/src/programs/figreach-standin/backend.cpp
@@ -1,23 +1,30 @@
 #include "backend.h"
 
+#include <array>
 #include <charconv>
-#include <vector>
+#include <functional>
+#include <string_view>
+#include <utility>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <boost/json.hpp>
 
 #include "figreach/grant_codec.h"
-#include "figreach/key_hash.h"
 #include "figreach/request_head.h"
 #include "figreach/runtime/connection_pool.h"
 
@@ -25,159 +32,322 @@
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
+namespace json = boost::json;
 using asio::ip::tcp;
-using request = http::request<http::string_body>;
+using request_parser = http::request_parser<http::buffer_body>;
 using response = http::response<http::string_body>;
 
 namespace {
 
-/// One request that this server ran.
-struct execution {
-    std::string request_id;
-    std::string key;
-    std::uint64_t fence = 0;
-    monotonic_time at{};
-};
+constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t chunk_bytes = 64 * 1024;
+constexpr std::size_t most_control_bytes = 16 * 1024 * 1024;
+constexpr std::uint64_t most_answer_bytes = 1024ULL * 1024 * 1024;
+constexpr milliseconds thaw_poll{10};
+constexpr std::string_view size_parameter = "bytes=";
+
+std::uint64_t number_in(std::string_view text)
+{
+    std::uint64_t out = 0;
+    std::from_chars(text.data(), text.data() + text.size(), out);
+    return out;
+}
+
+/// Size that the target asks the answer to have; 0: as it comes.
+std::uint64_t asked_size(std::string_view target)
+{
+    const auto at = target.find(size_parameter);
+    if (at == std::string_view::npos) {
+        return 0;
+    }
+    return std::min(number_in(target.substr(at + size_parameter.size())), most_answer_bytes);
+}
+
+offered_request offered_by(const http::request_header<>& head)
+{
+    return {.request_id = std::string{head[field::request_id]},
+            .idempotency_key = std::string{head[field::idempotency_key]},
+            .key = std::string{head[field::key]},
+            .method = std::string{head.method_string()},
+            .fence = number_in(head[field::fence])};
+}
+
+bool deadline_passed(const http::request_header<>& head)
+{
+    const auto text = head[field::deadline];
+    return !text.empty() && number_in(text) == 0;
+}
 
-class backend {
+/// One connection of a figreach host or of a test tool.
+class connection {
 public:
-    explicit backend(const backend_settings& settings_) : settings{settings_} {}
+    connection(backend_state& state_, tcp::socket socket) : state{state_}, stream{std::move(socket)}
+    {
+    }
 
-    asio::awaitable<void> serve(tcp::socket socket)
+    asio::awaitable<void> serve()
     {
-        boost::beast::tcp_stream stream{std::move(socket)};
-        boost::beast::flat_buffer buffer;
-        for (;;) {
-            request in;
+        while (co_await this->serve_one()) {
+        }
+    }
+
+private:
+    asio::awaitable<bool> serve_one()
+    {
+        request_parser parser;
+        parser.body_limit(boost::none);
+        const auto [failed, count] =
+            co_await http::async_read_header(this->stream, this->buffer, parser, no_throw);
+        if (failed) {
+            co_return false;
+        }
+        const std::string target{parser.get().target()};
+        if (target.starts_with("/standin/")) {
+            co_return co_await this->control(parser, target);
+        }
+        co_await this->thaw();
+        if (target == "/figreach/v1/grant") {
+            co_return co_await this->take_grant(parser);
+        }
+        co_return co_await this->execute(parser, target);
+    }
+
+    /// Waits while the server is frozen.
+    asio::awaitable<void> thaw()
+    {
+        while (this->state.frozen()) {
+            asio::steady_timer pause{this->stream.get_executor(), thaw_poll};
+            co_await pause.async_wait(asio::use_awaitable);
+        }
+    }
+
+    /// Reads the body in chunks; `keep` takes each. False when the caller left.
+    asio::awaitable<bool> read_body(request_parser& parser,
+                                    std::function<bool(std::string_view)> keep)
+    {
+        std::string chunk(chunk_bytes, '\0');
+        while (!parser.is_done()) {
+            parser.get().body().data = chunk.data();
+            parser.get().body().size = chunk.size();
             const auto [failed, count] =
-                co_await http::async_read(stream, buffer, in, asio::as_tuple(asio::use_awaitable));
-            if (failed) {
-                co_return;
+                co_await http::async_read(this->stream, this->buffer, parser, no_throw);
+            if (failed && failed != http::error::need_buffer) {
+                co_return false;
             }
-            auto out = co_await this->answer(in);
-            out.keep_alive(in.keep_alive());
-            out.prepare_payload();
-            const auto [unsent, sent] =
-                co_await http::async_write(stream, out, asio::as_tuple(asio::use_awaitable));
-            if (unsent || !in.keep_alive()) {
-                co_return;
+            const auto filled = chunk.size() - parser.get().body().size;
+            if (!keep(std::string_view{chunk}.substr(0, filled))) {
+                co_return false;
             }
         }
+        co_return true;
     }
 
-private:
-    asio::awaitable<response> answer(const request& in)
+    asio::awaitable<bool> read_control_body(request_parser& parser, std::string& out)
+    {
+        const auto keep = [&out](std::string_view part) {
+            out += part;
+            return out.size() <= most_control_bytes;
+        };
+        co_return co_await this->read_body(parser, keep);
+    }
+
+    asio::awaitable<bool> send(response out, bool keep)
     {
-        if (in.target() == "/figreach/v1/grant") {
-            co_return this->take_grant(in);
+        out.version(11);
+        out.keep_alive(keep);
+        out.prepare_payload();
+        const auto [failed, count] = co_await http::async_write(this->stream, out, no_throw);
+        co_return keep && !failed;
+    }
+
+    asio::awaitable<bool> control(request_parser& parser, const std::string& target)
+    {
+        std::string body;
+        if (!co_await this->read_control_body(parser, body)) {
+            co_return false;
+        }
+        response out;
+        if (target == "/standin/fault") {
+            out.result(this->order_faults(body) ? http::status::ok : http::status::bad_request);
         }
-        if (in.target() == "/standin/executions") {
-            co_return this->list_executions();
+        else if (target == "/standin/counts") {
+            out.body() = json::serialize(this->state.counts());
         }
-        co_return co_await this->execute(in);
+        else if (target == "/standin/executions") {
+            out.body() = json::serialize(this->state.executions());
+        }
+        else {
+            out.result(http::status::not_found);
+        }
+        co_return co_await this->send(std::move(out), parser.get().keep_alive());
+    }
+
+    bool order_faults(const std::string& body)
+    {
+        boost::system::error_code failed;
+        const auto order = json::parse(body, failed);
+        return !failed && order.is_object() &&
+               this->state.set_faults(order.get_object(), monotonic_time::clock::now());
     }
 
-    response take_grant(const request& in)
+    asio::awaitable<bool> take_grant(request_parser& parser)
     {
+        std::string body;
+        if (!co_await this->read_control_body(parser, body)) {
+            co_return false;
+        }
         response out;
-        const auto asked = parse_grant(in.body());
-        if (!asked) {
-            out.result(http::status::bad_request);
-            return out;
+        const auto asked = parse_grant(body);
+        if (asked) {
+            out.set(http::field::content_type, "application/json");
+            out.body() = to_json(this->state.take_grant(*asked, monotonic_time::clock::now()));
         }
-        const bool accepted = asked->term >= this->present.term;
-        if (accepted) {
-            this->present = *asked;
-            this->granted_until = monotonic_time::clock::now() + asked->duration;
+        else {
+            out.result(http::status::bad_request);
         }
-        out.body() = to_json(grant_answer{.accepted = accepted,
-                                          .sequence = asked->sequence,
-                                          .term = this->present.term,
-                                          .incarnation = 1,
-                                          .in_flight = this->in_flight,
-                                          .cold = false,
-                                          .leaving = false});
-        return out;
+        co_return co_await this->send(std::move(out), parser.get().keep_alive());
     }
 
-    bool may_serve(const request& in) const
+    asio::awaitable<bool> execute(request_parser& parser, const std::string& target)
     {
-        if (!this->settings.checks_fences) {
+        const auto offered = offered_by(parser.get());
+        const auto refused = deadline_passed(parser.get())
+                                 ? std::optional{error_kind::deadline_expired}
+                                 : this->state.start(offered, monotonic_time::clock::now());
+        if (refused) {
+            co_return co_await this->refuse(parser, *refused);
+        }
+        const auto number = this->state.last_started();
+        const auto incarnation = this->state.incarnation();
+        std::uint64_t received = 0;
+        const auto count = [&received](std::string_view part) {
+            received += part.size();
             return true;
+        };
+        const bool whole = co_await this->read_body(parser, count);
+        const bool done = whole && co_await this->work();
+        co_await this->thaw();
+        this->state.finish(number, monotonic_time::clock::now(), !done);
+        if (!done || this->state.incarnation() != incarnation) {
+            co_return false;
         }
-        const auto hash = hash_key(std::string{in[field::key]});
-        if (monotonic_time::clock::now() >= this->granted_until) {
-            return false;
+        co_return co_await this->answer(parser, offered, received, asked_size(target));
+    }
+
+    asio::awaitable<bool> refuse(request_parser& parser, error_kind kind)
+    {
+        const auto ignore = [](std::string_view) { return true; };
+        if (!co_await this->read_body(parser, ignore)) {
+            co_return false;
         }
-        for (const auto& slice : this->present.slices) {
-            if (slice.first <= hash && hash <= slice.last) {
-                return in[field::fence] == std::to_string(slice.fence);
-            }
+        response out;
+        const bool misdirected = kind == error_kind::stale_route;
+        out.result(misdirected ? http::status::misdirected_request
+                               : http::status::service_unavailable);
+        out.set(field::outcome, name_of(run_state::not_run));
+        out.set(field::error, name_of(kind));
+        co_return co_await this->send(std::move(out), parser.get().keep_alive());
+    }
+
+    /// Works for the service time. False when the caller closed the connection meanwhile.
+    asio::awaitable<bool> work()
+    {
+        using namespace asio::experimental::awaitable_operators;
+        const auto time = this->state.service_time();
+        if (time <= milliseconds{0}) {
+            co_return true;
+        }
+        asio::steady_timer timer{this->stream.get_executor(), time};
+        auto worked = timer.async_wait(no_throw);
+        auto readable = this->stream.socket().async_wait(tcp::socket::wait_read, no_throw);
+        const auto first = co_await (std::move(worked) || std::move(readable));
+        if (first.index() == 0 || !this->closed()) {
+            timer.expires_at(timer.expiry());
+            co_await timer.async_wait(no_throw);
+            co_return true;
         }
-        return false;
+        co_return false;
     }
 
-    asio::awaitable<response> execute(const request& in)
+    bool closed()
     {
-        response out;
-        if (!this->may_serve(in)) {
-            out.result(http::status::misdirected_request);
-            out.set(field::outcome, name_of(run_state::not_run));
-            out.set(field::error, name_of(error_kind::stale_route));
-            co_return out;
-        }
-        ++this->in_flight;
-        std::uint64_t fence = 0;
-        const auto fence_text = in[field::fence];
-        std::from_chars(fence_text.data(), fence_text.data() + fence_text.size(), fence);
-        this->executions.push_back({.request_id = std::string{in[field::request_id]},
-                                    .key = std::string{in[field::key]},
-                                    .fence = fence,
-                                    .at = monotonic_time::clock::now()});
-        if (this->settings.service_time.count() > 0) {
-            asio::steady_timer work{co_await asio::this_coro::executor,
-                                    this->settings.service_time};
-            co_await work.async_wait(asio::use_awaitable);
-        }
-        --this->in_flight;
-        out.set(field::server, this->settings.name);
+        char byte = 0;
+        boost::system::error_code failed;
+        this->stream.socket().non_blocking(true, failed);
+        this->stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, failed);
+        return failed && failed != asio::error::would_block;
+    }
+
+    asio::awaitable<bool> answer(request_parser& parser, const offered_request& offered,
+                                 std::uint64_t received, std::uint64_t size)
+    {
+        const auto head = json::serialize(json::object{{"server", this->state.name()},
+                                                       {"key", offered.key},
+                                                       {"request", offered.request_id},
+                                                       {"idempotency_key", offered.idempotency_key},
+                                                       {"received", received}});
+        http::response<http::buffer_body> out;
+        out.version(11);
+        out.keep_alive(parser.get().keep_alive());
+        out.set(http::field::content_type, "application/json");
+        out.set(field::server, this->state.name());
         out.set(field::outcome, name_of(run_state::ran));
-        out.set(field::request_id, in[field::request_id]);
-        out.body() = "{\"server\":\"" + this->settings.name + "\",\"key\":\"" +
-                     std::string{in[field::key]} + "\"}";
-        co_return out;
+        out.set(field::request_id, offered.request_id);
+        const auto length = std::max<std::uint64_t>(size, head.size());
+        out.content_length(length);
+        const bool only_head = parser.get().method() == http::verb::head;
+        co_return co_await this->stream_answer(out, head, only_head ? 0 : length);
     }
 
-    response list_executions() const
+    /// Sends `first`, then spaces up to `length` bytes.
+    asio::awaitable<bool> stream_answer(http::response<http::buffer_body>& out,
+                                        const std::string& first, std::uint64_t length)
     {
-        boost::json::array list;
-        for (const auto& one : this->executions) {
-            list.push_back(boost::json::object{
-                {"request", one.request_id},
-                {"key", one.key},
-                {"fence", one.fence},
-                {"at_ns", one.at.time_since_epoch().count()},
-            });
+        const std::string spaces(length > first.size() ? chunk_bytes : 0, ' ');
+        http::response_serializer<http::buffer_body> writer{out};
+        std::uint64_t sent = 0;
+        out.body().more = length > 0;
+        if (length == 0) {
+            const auto [failed, count] =
+                co_await http::async_write_header(this->stream, writer, no_throw);
+            co_return !failed && out.keep_alive();
         }
-        response out;
-        out.body() = boost::json::serialize(
-            boost::json::object{{"server", this->settings.name}, {"executions", std::move(list)}});
-        return out;
+        while (!writer.is_done()) {
+            const auto& part = sent == 0 ? first : spaces;
+            const auto size = std::min<std::uint64_t>(part.size(), length - sent);
+            // The serializer only reads; its interface wants a mutable pointer.
+            out.body().data = const_cast<char*>(part.data());
+            out.body().size = size;
+            sent += size;
+            out.body().more = sent < length;
+            const auto [failed, count] = co_await http::async_write(this->stream, writer, no_throw);
+            if (failed && failed != http::error::need_buffer) {
+                co_return false;
+            }
+        }
+        co_return out.keep_alive();
     }
 
-    backend_settings settings;
-    grant present;
-    monotonic_time granted_until{};
-    std::uint32_t in_flight = 0;
-    std::vector<execution> executions;
+    backend_state& state;
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
 };
 
-asio::awaitable<void> accept(tcp::acceptor& acceptor, backend& served)
+asio::awaitable<void> serve(backend_state& state, tcp::socket socket)
+{
+    connection one{state, std::move(socket)};
+    co_await one.serve();
+}
+
+asio::awaitable<void> accept(tcp::acceptor& acceptor, backend_state& state)
 {
     for (;;) {
-        auto socket = co_await acceptor.async_accept(asio::use_awaitable);
-        socket.set_option(tcp::no_delay{true});
-        asio::co_spawn(acceptor.get_executor(), served.serve(std::move(socket)), asio::detached);
+        auto [failed, socket] = co_await acceptor.async_accept(no_throw);
+        if (failed) {
+            continue;
+        }
+        socket.set_option(tcp::no_delay{true}, failed);
+        asio::co_spawn(acceptor.get_executor(), serve(state, std::move(socket)), asio::detached);
     }
 }
 
@@ -185,9 +355,9 @@
 
 void run_backend(asio::io_context& io, const backend_settings& settings)
 {
-    backend served{settings};
+    backend_state state{settings};
     tcp::acceptor acceptor{io, to_endpoint(settings.address)};
-    asio::co_spawn(io, accept(acceptor, served), asio::detached);
+    asio::co_spawn(io, accept(acceptor, state), asio::detached);
     io.run();
 }
 
--- /dev/null
+++ b/src/programs/figreach-standin/http_control.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+namespace figreach::standin {
+
+struct control_answer {
+    unsigned status = 200;
+    std::string body;
+};
+
+/// Answers one control request by method, target and body.
+using control_handler =
+    std::function<control_answer(const std::string&, const std::string&, const std::string&)>;
+
+/// Serves a stand-in's control port over HTTP until the context stops.
+void serve_control(boost::asio::io_context& io, const std::string& address,
+                   control_handler handler);
+
+} // namespace figreach::standin
--- a/src/programs/figreach-standin/main.cpp
+++ b/src/programs/figreach-standin/main.cpp
@@ -27,6 +27,10 @@
     add("what", options::value<std::string>(), "store or backend");
     add("address", options::value<std::string>(), "IP number and port to listen at");
     add("name", options::value<std::string>()->default_value("backend"), "name of the backend");
+    add("control", options::value<std::string>(),
+        "IP number and port of the store's control port: POST /fault, GET /counts, "
+        "PUT /platform/hosts/NAME");
+    add("slots", options::value<std::uint32_t>()->default_value(4), "slots of the backend");
     add("service-time-ms", options::value<int>()->default_value(2), "time of one request");
     add("unfenced", "the backend does not check fences");
     return out;
@@ -40,6 +44,13 @@
     const auto address = given["address"].as<std::string>();
     if (given["what"].as<std::string>() == "store") {
         standin::store store{address};
+        if (given.contains("control")) {
+            const auto handle = [&store](const std::string& method, const std::string& target,
+                                         const std::string& body) {
+                return store.control(method, target, body);
+            };
+            standin::serve_control(io, given["control"].as<std::string>(), handle);
+        }
         io.run();
         return exit_ok;
     }
@@ -47,6 +58,7 @@
         io, {.name = given["name"].as<std::string>(),
              .address = address,
              .checks_fences = !given.contains("unfenced"),
+             .slots = given["slots"].as<std::uint32_t>(),
              .service_time = figreach::milliseconds{given["service-time-ms"].as<int>()}});
     return exit_ok;
 }
--- a/src/programs/figreach-standin/store.cpp
+++ b/src/programs/figreach-standin/store.cpp
@@ -1,113 +1,287 @@
 #include "store.h"
 
-#include <map>
-#include <mutex>
+#include <atomic>
 #include <stdexcept>
+#include <thread>
 
+#include <boost/json.hpp>
 #include <grpcpp/grpcpp.h>
 
 #include "etcd.grpc.pb.h"
+#include "store_faults.h"
+#include "store_state.h"
 
 namespace figreach::standin {
 
 namespace wire = etcdserverpb;
+namespace json = boost::json;
 
-class store::service final : public wire::KV::Service {
-public:
-    explicit service(const std::string& address)
-    {
-        grpc::ServerBuilder builder;
-        builder.AddListeningPort(address, grpc::InsecureServerCredentials());
-        builder.RegisterService(this);
-        this->server = builder.BuildAndStart();
-        if (!this->server) {
-            throw std::runtime_error{"cannot listen at " + address};
-        }
+namespace {
+
+constexpr milliseconds lease_check{50};
+constexpr milliseconds watch_check{50};
+constexpr std::string_view host_list_prefix = "/platform/hosts/";
+
+const grpc::Status unavailable{grpc::StatusCode::UNAVAILABLE, "the store is down"};
+
+/// Delays a call, and says whether the store answers it at all.
+bool admit(store_faults& faults, std::atomic<std::uint64_t>& counter)
+{
+    counter.fetch_add(1, std::memory_order_relaxed);
+    std::this_thread::sleep_for(faults.delay());
+    if (faults.down()) {
+        faults.refused.fetch_add(1, std::memory_order_relaxed);
+        return false;
     }
+    return true;
+}
+
+/// The status of a write that took effect.
+grpc::Status written(store_faults& faults)
+{
+    if (!faults.loses_answer()) {
+        return grpc::Status::OK;
+    }
+    faults.lost_answers.fetch_add(1, std::memory_order_relaxed);
+    return {grpc::StatusCode::UNAVAILABLE, "the answer was lost"};
+}
+
+using keep_alive_stream =
+    grpc::ServerReaderWriter<wire::LeaseKeepAliveResponse, wire::LeaseKeepAliveRequest>;
+using watch_stream = grpc::ServerReaderWriter<wire::WatchResponse, wire::WatchRequest>;
+
+class key_service final : public wire::KV::Service {
+public:
+    key_service(store_state& state_, store_faults& faults_) : state{state_}, faults{faults_} {}
 
     grpc::Status Range(grpc::ServerContext*, const wire::RangeRequest* request,
                        wire::RangeResponse* answer) override
     {
-        const std::lock_guard lock{this->guard};
-        this->range(*request, *answer);
+        if (!admit(this->faults, this->faults.reads)) {
+            return unavailable;
+        }
+        this->state.range(*request, *answer);
         return grpc::Status::OK;
     }
 
+    grpc::Status Put(grpc::ServerContext*, const wire::PutRequest* request,
+                     wire::PutResponse* answer) override
+    {
+        if (!admit(this->faults, this->faults.writes)) {
+            return unavailable;
+        }
+        this->state.put(*request, *answer);
+        return written(this->faults);
+    }
+
+    grpc::Status DeleteRange(grpc::ServerContext*, const wire::DeleteRangeRequest* request,
+                             wire::DeleteRangeResponse* answer) override
+    {
+        if (!admit(this->faults, this->faults.writes)) {
+            return unavailable;
+        }
+        this->state.remove(*request, *answer);
+        return written(this->faults);
+    }
+
     grpc::Status Txn(grpc::ServerContext*, const wire::TxnRequest* request,
                      wire::TxnResponse* answer) override
     {
-        const std::lock_guard lock{this->guard};
-        bool holds = true;
-        for (const auto& one : request->compare()) {
-            holds = holds && this->compares(one);
+        if (!admit(this->faults, this->faults.writes)) {
+            return unavailable;
+        }
+        this->state.transact(*request, *answer);
+        return written(this->faults);
+    }
+
+private:
+    store_state& state;
+    store_faults& faults;
+};
+
+class lease_service final : public wire::Lease::Service {
+public:
+    lease_service(store_state& state_, store_faults& faults_) : state{state_}, faults{faults_} {}
+
+    grpc::Status LeaseGrant(grpc::ServerContext*, const wire::LeaseGrantRequest* request,
+                            wire::LeaseGrantResponse* answer) override
+    {
+        if (!admit(this->faults, this->faults.lease_calls)) {
+            return unavailable;
         }
-        answer->set_succeeded(holds);
-        for (const auto& one : holds ? request->success() : request->failure()) {
-            this->carry_out(one, *answer->add_responses());
+        this->state.grant_lease(*request, *answer);
+        return written(this->faults);
+    }
+
+    grpc::Status LeaseRevoke(grpc::ServerContext*, const wire::LeaseRevokeRequest* request,
+                             wire::LeaseRevokeResponse*) override
+    {
+        if (!admit(this->faults, this->faults.lease_calls)) {
+            return unavailable;
+        }
+        this->state.revoke_lease(request->id());
+        return written(this->faults);
+    }
+
+    grpc::Status LeaseKeepAlive(grpc::ServerContext*, keep_alive_stream* stream) override
+    {
+        wire::LeaseKeepAliveRequest request;
+        while (stream->Read(&request)) {
+            if (!admit(this->faults, this->faults.lease_calls)) {
+                return unavailable;
+            }
+            wire::LeaseKeepAliveResponse answer;
+            answer.set_id(request.id());
+            answer.set_ttl(this->state.keep_alive(request.id()));
+            stream->Write(answer);
         }
-        answer->mutable_header()->set_revision(this->revision);
         return grpc::Status::OK;
     }
 
 private:
-    bool compares(const wire::Compare& one) const
+    store_state& state;
+    store_faults& faults;
+};
+
+/// One watch a stream; ends with the stream or when the store goes down.
+class watch_service final : public wire::Watch::Service {
+public:
+    watch_service(store_state& state_, store_faults& faults_) : state{state_}, faults{faults_} {}
+
+    void stop() { this->stopping = true; }
+
+    grpc::Status Watch(grpc::ServerContext* context, watch_stream* stream) override
     {
-        const auto found = this->values.find(one.key());
-        const auto present = found == this->values.end() ? 0 : found->second.mod_revision();
-        return one.target() == wire::Compare::MOD && one.result() == wire::Compare::EQUAL &&
-               present == one.mod_revision();
+        wire::WatchRequest request;
+        if (!stream->Read(&request) || !request.has_create_request()) {
+            return {grpc::StatusCode::INVALID_ARGUMENT, "a watch begins with create_request"};
+        }
+        this->faults.waiting_watches.fetch_add(1);
+        const auto status = this->serve(*context, *stream, request.create_request());
+        this->faults.waiting_watches.fetch_sub(1);
+        return status;
     }
 
-    void carry_out(const wire::RequestOp& one, wire::ResponseOp& answer)
+private:
+    grpc::Status serve(grpc::ServerContext& context, watch_stream& stream,
+                       const wire::WatchCreateRequest& watch)
     {
-        if (one.has_request_put()) {
-            this->put(one.request_put());
-            answer.mutable_response_put()->mutable_header()->set_revision(this->revision);
+        wire::WatchResponse created;
+        created.set_created(true);
+        created.mutable_header()->set_revision(this->state.revision());
+        auto from =
+            watch.start_revision() > 0 ? watch.start_revision() : created.header().revision() + 1;
+        bool open = stream.Write(created);
+        while (open && !context.IsCancelled() && !this->stopping) {
+            if (this->faults.down()) {
+                return unavailable;
+            }
+            wire::WatchResponse answer;
+            from = this->state.wait_events(watch, from, monotonic_time::clock::now() + watch_check,
+                                           answer);
+            open = answer.events_size() == 0 || stream.Write(answer);
         }
-        if (one.has_request_range()) {
-            this->range(one.request_range(), *answer.mutable_response_range());
+        return grpc::Status::OK;
+    }
+
+    store_state& state;
+    store_faults& faults;
+    std::atomic<bool> stopping{false};
+};
+
+} // namespace
+
+class store::running {
+public:
+    explicit running(const std::string& address)
+    {
+        grpc::ServerBuilder builder;
+        builder.AddListeningPort(address, grpc::InsecureServerCredentials());
+        builder.RegisterService(&this->keys);
+        builder.RegisterService(&this->leases);
+        builder.RegisterService(&this->watches);
+        this->server = builder.BuildAndStart();
+        if (!this->server) {
+            throw std::runtime_error{"cannot listen at " + address};
         }
+        this->lease_clock = std::thread{[this] { this->end_leases(); }};
     }
 
-    void put(const wire::PutRequest& request)
+    ~running()
     {
-        ++this->revision;
-        auto& value = this->values[request.key()];
-        if (value.version() == 0) {
-            value.set_key(request.key());
-            value.set_create_revision(this->revision);
+        this->stopping = true;
+        this->watches.stop();
+        this->server->Shutdown(std::chrono::system_clock::now() + lease_check);
+        if (this->lease_clock.joinable()) {
+            this->lease_clock.join();
         }
-        value.set_value(request.value());
-        value.set_version(value.version() + 1);
-        value.set_mod_revision(this->revision);
     }
 
-    void range(const wire::RangeRequest& request, wire::RangeResponse& answer) const
+    running(const running&) = delete;
+    running& operator=(const running&) = delete;
+
+    control_answer control(const std::string& method, const std::string& target,
+                           const std::string& body)
     {
-        answer.mutable_header()->set_revision(this->revision);
-        if (request.range_end().empty()) {
-            const auto found = this->values.find(request.key());
-            if (found != this->values.end()) {
-                *answer.add_kvs() = found->second;
-            }
+        if (method == "POST" && target == "/fault") {
+            return {.status = this->faults.order(body) ? 200U : 400U, .body = {}};
         }
-        else {
-            auto one = this->values.lower_bound(request.key());
-            for (; one != this->values.end() && one->first < request.range_end(); ++one) {
-                *answer.add_kvs() = one->second;
-            }
+        if (method == "GET" && target == "/counts") {
+            return {.status = 200, .body = json::serialize(this->counts())};
+        }
+        if (method == "PUT" && target.starts_with(host_list_prefix)) {
+            this->put_host(target, body);
+            return {};
+        }
+        return {.status = 404, .body = {}};
+    }
+
+private:
+    json::object counts() const
+    {
+        return {{"reads", this->faults.reads.load()},
+                {"writes", this->faults.writes.load()},
+                {"lease_calls", this->faults.lease_calls.load()},
+                {"refused", this->faults.refused.load()},
+                {"lost_answers", this->faults.lost_answers.load()},
+                {"waiting_watches", this->faults.waiting_watches.load()}};
+    }
+
+    void put_host(const std::string& key, const std::string& value)
+    {
+        wire::PutRequest request;
+        request.set_key(key);
+        request.set_value(value);
+        wire::PutResponse answer;
+        this->state.put(request, answer);
+    }
+
+    void end_leases()
+    {
+        while (!this->stopping) {
+            std::this_thread::sleep_for(lease_check);
+            this->state.lapse_leases(this->faults.takes_lapse());
         }
-        answer.set_count(answer.kvs_size());
     }
 
-    std::mutex guard;
-    std::map<std::string, wire::KeyValue> values;
-    std::int64_t revision = 1;
+    store_state state;
+    store_faults faults;
+    key_service keys{state, faults};
+    lease_service leases{state, faults};
+    watch_service watches{state, faults};
     std::unique_ptr<grpc::Server> server;
+    std::atomic<bool> stopping{false};
+    std::thread lease_clock;
 };
 
-store::store(const std::string& address) : calls{std::make_unique<service>(address)} {}
+store::store(const std::string& address) : server{std::make_unique<running>(address)} {}
 
 store::~store() = default;
 
+control_answer store::control(const std::string& method, const std::string& target,
+                              const std::string& body)
+{
+    return this->server->control(method, target, body);
+}
+
 } // namespace figreach::standin
--- /dev/null
+++ b/src/programs/figreach-standin/store_state.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "etcd.pb.h"
+#include "figreach/time.h"
+
+namespace figreach::standin {
+
+/// Keys, leases and the history of events of the stand-in store. Thread-safe.
+class store_state {
+public:
+    void range(const etcdserverpb::RangeRequest& request, etcdserverpb::RangeResponse& answer);
+    void put(const etcdserverpb::PutRequest& request, etcdserverpb::PutResponse& answer);
+    void remove(const etcdserverpb::DeleteRangeRequest& request,
+                etcdserverpb::DeleteRangeResponse& answer);
+    void transact(const etcdserverpb::TxnRequest& request, etcdserverpb::TxnResponse& answer);
+
+    void grant_lease(const etcdserverpb::LeaseGrantRequest& request,
+                     etcdserverpb::LeaseGrantResponse& answer);
+    void revoke_lease(std::int64_t id);
+    /// The lease's time to live in seconds; 0 when it has lapsed.
+    [[nodiscard]] std::int64_t keep_alive(std::int64_t id);
+    /// Ends every lease that is due; with `all`, every lease.
+    void lapse_leases(bool all);
+
+    /// Fills in the events of a watch from a revision on, waiting for one until `until`; returns
+    /// the revision to go on from.
+    [[nodiscard]] std::int64_t wait_events(const etcdserverpb::WatchCreateRequest& watch,
+                                           std::int64_t from, monotonic_time until,
+                                           etcdserverpb::WatchResponse& answer);
+    [[nodiscard]] std::int64_t revision();
+
+private:
+    struct lease {
+        seconds time_to_live{0};
+        monotonic_time ends{};
+    };
+
+    void range_locked(const etcdserverpb::RangeRequest& request,
+                      etcdserverpb::RangeResponse& answer) const;
+    void put_locked(const etcdserverpb::PutRequest& request);
+    std::int64_t remove_locked(const std::string& first, const std::string& end);
+    void carry_out(const etcdserverpb::RequestOp& one, etcdserverpb::ResponseOp& answer);
+    [[nodiscard]] bool holds(const etcdserverpb::Compare& one) const;
+    void end_lease_locked(std::int64_t id);
+    void note_event(etcdserverpb::Event event);
+
+    std::mutex guard;
+    std::condition_variable changed;
+    std::map<std::string, etcdserverpb::KeyValue> values;
+    std::map<std::int64_t, lease> leases;
+    std::deque<etcdserverpb::Event> events;
+    std::int64_t present_revision = 1;
+    std::int64_t next_lease = 1;
+};
+
+} // namespace figreach::standin
