--- a/src/programs/figreach-standin/backend.cpp
+++ b/src/programs/figreach-standin/backend.cpp
@@ -34,6 +34,7 @@
 namespace http = boost::beast::http;
 namespace json = boost::json;
 using asio::ip::tcp;
+using body_sink = std::function<bool(std::string_view)>;
 using request_parser = http::request_parser<http::buffer_body>;
 using response = http::response<http::string_body>;
 
@@ -87,7 +88,9 @@
 
     asio::awaitable<void> serve()
     {
-        while (co_await this->serve_one()) {
+        bool open = true;
+        while (open) {
+            open = co_await this->serve_one();
         }
     }
 
@@ -122,8 +125,7 @@
     }
 
     /// Reads the body in chunks; `keep` takes each. False when the caller left.
-    asio::awaitable<bool> read_body(request_parser& parser,
-                                    std::function<bool(std::string_view)> keep)
+    asio::awaitable<bool> read_body(request_parser& parser, const body_sink& keep)
     {
         std::string chunk(chunk_bytes, '\0');
         while (!parser.is_done()) {
@@ -144,7 +146,7 @@
 
     asio::awaitable<bool> read_control_body(request_parser& parser, std::string& out)
     {
-        const auto keep = [&out](std::string_view part) {
+        const body_sink keep = [&out](std::string_view part) {
             out += part;
             return out.size() <= most_control_bytes;
         };
@@ -220,7 +222,7 @@
         const auto number = this->state.last_started();
         const auto incarnation = this->state.incarnation();
         std::uint64_t received = 0;
-        const auto count = [&received](std::string_view part) {
+        const body_sink count = [&received](std::string_view part) {
             received += part.size();
             return true;
         };
@@ -236,7 +238,7 @@
 
     asio::awaitable<bool> refuse(request_parser& parser, error_kind kind)
     {
-        const auto ignore = [](std::string_view) { return true; };
+        const body_sink ignore = [](std::string_view) { return true; };
         if (!co_await this->read_body(parser, ignore)) {
             co_return false;
         }
