--- /dev/null
+++ b/include/figreach/news_selector.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <utility>
+
+#include "figreach/peer_message.h"
+
+namespace figreach {
+
+struct news_settings {
+    std::size_t most_partitions = 4;   ///< partition versions in one message
+    std::size_t most_coordinators = 4; ///< coordinator hints in one message
+    std::uint32_t sends_of_change = 8; ///< messages that carry a changed entry before others
+};
+
+/// Chooses which partition versions and coordinator hints go into a message: those that changed
+/// lately first, then the others in turn, so that each is told now and then.
+class news_selector {
+public:
+    explicit news_selector(news_settings settings);
+
+    /// The part of the news for the next message; the description version is always in it.
+    [[nodiscard]] gossip select(const gossip& news);
+
+private:
+    struct told_entry {
+        std::uint64_t version = 0;
+        std::uint32_t sends_left = 0;
+    };
+
+    news_settings settings;
+    std::map<partition_id, told_entry> partitions;
+    std::map<backend_server_id, told_entry> coordinators;
+    std::size_t next_partition = 0;
+    std::size_t next_coordinator = 0;
+};
+
+} // namespace figreach
