Ownership protocol: validators, coordinators, hand-over, writer

Cause: every host polled the store each second and renewed grants without any authority. Ruled out: renewal tied to the store; grants whose duration starts when they are taken, since a grant that waits in a frozen server's buffer would then outlive its coordinator's authority. Change: new modules validator, confirmation, coordinator, hand_over, partition_writer, ownership; controller composes them. A grant names the answer from which its duration counts.

--- a/include/figreach/control.h
+++ b/include/figreach/control.h
@@ -40,8 +40,16 @@
     std::vector<slice_load> slices;
 };
 
-using control_event =
-    std::variant<tick, peer_received, store_answered, store_changed, server_answered, load_seen>;
+/// The data path has taken up this version or a later one, and none of its requests for these
+/// slices of the backend server, which move away in that version, is in flight.
+struct slices_idle {
+    partition_version known;
+    backend_server_id server;
+    std::vector<key_hash> firsts;
+};
+
+using control_event = std::variant<tick, peer_received, store_answered, store_changed,
+                                   server_answered, load_seen, slices_idle>;
 
 struct send_to_host {
     std::string address;
--- a/include/figreach/routing.h
+++ b/include/figreach/routing.h
@@ -20,7 +20,7 @@
 /// The partition of a service that holds a hash.
 [[nodiscard]] partition_id partition_of(const service& service, key_hash hash);
 
-/// The owner of a key. `server` is null when the key has no owner now.
+/// The owner of a key. `server` is null when the key has no owner now, as while it moves.
 /// The pointers live as long as the snapshot.
 [[nodiscard]] route find_route(const routing_snapshot& snapshot, const service& service,
                                std::string_view key);
--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -1,16 +1,49 @@
 #include "figreach/controller.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "figreach/assigner.h"
-#include "figreach/description_parser.h"
-#include "figreach/document_codec.h"
+#include "figreach/validator_choice.h"
 
 namespace figreach {
 
-controller::controller(host_identity self_, control_settings settings_)
-    : self{self_}, settings{settings_}, peers{std::move(self_), settings_.membership}
+namespace {
+
+constexpr milliseconds description_request_interval{200};
+constexpr std::size_t description_pollers = 3;
+
+placement placement_by(const std::shared_ptr<assigner>& placing)
+{
+    return {.plan = [placing](const partition& present, const description& all,
+                              monotonic_time now) { return placing->plan(present, all, now); },
+            .on_report = [placing](const load_report& report,
+                                   monotonic_time now) { placing->on_report(report, now); }};
+}
+
+auto fields(const server_route& route)
+{
+    return std::tie(route.server, route.address, route.coordinator, route.forward_address,
+                    route.coordinated_here, route.takes_new_work);
+}
+
+bool same_routes(const std::map<backend_server_id, server_route>& left,
+                 const std::map<backend_server_id, server_route>& right)
+{
+    return std::ranges::equal(left, right, [](const auto& one, const auto& other) {
+        return fields(one.second) == fields(other.second);
+    });
+}
+
+} // namespace
+
+controller::controller(host_identity self_, const control_settings& settings_)
+    : self{self_},
+      settings{settings_},
+      peers{self_, settings_.membership},
+      placing{std::make_shared<assigner>(assigner_settings{})},
+      owned{std::move(self_), settings_.ownership, placement_by(this->placing)}
 {
 }
 
@@ -23,210 +56,219 @@
 
 void controller::on_event(const tick&, monotonic_time now)
 {
-    for (auto& message : this->peers.on_tick(this->news(), now)) {
+    for (auto& message : this->peers.on_tick(this->news(now), now)) {
         this->actions.emplace_back(std::move(message));
     }
-    this->poll_store(now);
-    this->create_missing_partitions(now);
-    this->renew_grants(now);
+    this->hosts = this->peers.live_hosts(now);
+    this->poll_description(now);
+    this->add(this->owned.on_tick(this->around(now), now));
 }
 
 void controller::on_event(const peer_received& event, monotonic_time now)
 {
-    for (auto& message : this->peers.on_message(event.message, this->news(), now)) {
+    for (auto& message : this->peers.on_message(event.message, this->news(now), now)) {
         this->actions.emplace_back(std::move(message));
     }
+    this->hosts = this->peers.live_hosts(now);
+    this->take_hints(event.message);
+    this->spread_description(event.message, now);
+    this->add(this->owned.on_message(event.message, this->around(now), now));
 }
 
-void controller::on_event(const store_answered& event, monotonic_time)
+void controller::on_event(const store_answered& event, monotonic_time now)
 {
-    const auto* read = std::get_if<store_read>(&event.result);
-    if (read == nullptr) {
-        return;
-    }
-    this->partitions_known = true;
-    for (const auto& value : read->values) {
-        this->learn(value);
+    if (const auto* read = std::get_if<store_read>(&event.result)) {
+        for (const auto& value : read->values) {
+            if (value.key == description_key) {
+                this->descriptions.learn_history(value.value);
+            }
+        }
     }
+    this->add(this->owned.on_store(event, this->around(now), now));
 }
 
 void controller::on_event(const store_changed& event, monotonic_time)
 {
-    this->learn(event.present);
+    if (event.present.key == description_key) {
+        this->descriptions.learn_history(event.present.value);
+    }
 }
 
-void controller::on_event(const server_answered& event, monotonic_time)
+void controller::on_event(const server_answered& event, monotonic_time now)
 {
-    auto& state = this->granted[event.server];
-    const bool current =
-        event.answer && event.answer->accepted && event.answer->sequence == state.sequence;
-    if (!current) {
-        return;
-    }
-    this->actions.emplace_back(
-        extend_authority{.server = event.server,
-                         .until = state.sent_at + this->settings.grant_duration,
-                         .in_flight_elsewhere = 0,
-                         .incarnation = event.answer->incarnation,
-                         .cold = event.answer->cold});
+    this->add(this->owned.on_server(event, this->around(now), now));
 }
 
-void controller::on_event(const load_seen&, monotonic_time) {}
+void controller::on_event(const load_seen& event, monotonic_time)
+{
+    this->owned.on_load(event);
+}
+
+void controller::on_event(const slices_idle& event, monotonic_time)
+{
+    this->owned.on_idle(event);
+}
 
-void controller::poll_store(monotonic_time now)
+/// One host looks for a newer description often, two more seldom; the others learn from them.
+/// A host that knows none looks by itself.
+void controller::poll_description(monotonic_time now)
 {
-    if (now < this->next_poll) {
+    if (now < this->next_description_poll) {
         return;
     }
-    this->next_poll = now + this->settings.store_poll;
-    this->ask_store(read_key{std::string{description_key}});
-    this->ask_store(read_prefix{std::string{partition_prefix}});
+    const auto order = by_preference(std::string{description_key}, this->hosts);
+    const auto own = std::ranges::find(order, this->self.name);
+    const auto rank = static_cast<std::size_t>(own - order.begin());
+    const bool first = rank == 0 || this->descriptions.version() == 0;
+    this->next_description_poll =
+        now + (first ? this->settings.description_poll : this->settings.spare_description_poll);
+    if (first || rank < description_pollers) {
+        this->actions.emplace_back(
+            call_store{.call = this->next_call++, .what = read_key{std::string{description_key}}});
+    }
 }
 
-void controller::learn(const stored_value& value)
+void controller::spread_description(const peer_message& message, monotonic_time now)
 {
-    if (value.key == description_key) {
-        const auto history = decode_history(value.value);
-        if (!history || history->empty()) {
-            return;
+    if (const auto* heard = std::get_if<probe>(&message.body)) {
+        this->request_description(heard->news, message.sender, now);
+    }
+    if (const auto* heard = std::get_if<probe_answer>(&message.body)) {
+        this->request_description(heard->news, message.sender, now);
+    }
+    if (const auto* asked = std::get_if<document_request>(&message.body)) {
+        if (asked->description && asked->above.version < this->descriptions.version()) {
+            this->send(message.sender,
+                       document_offer{.partition = {},
+                                      .description = this->descriptions.encoded_record()});
         }
-        const auto& latest = history->back();
-        auto parsed = parse_description(latest.toml, value.key);
-        const bool newer = !this->shared || latest.version > this->shared->version;
-        if (newer && parsed.faults.empty()) {
-            parsed.value.version = latest.version;
-            this->shared = std::make_shared<const description>(std::move(parsed.value));
-            this->changed = true;
+    }
+    if (const auto* offered = std::get_if<document_offer>(&message.body)) {
+        if (!offered->description.empty()) {
+            this->descriptions.learn_record(offered->description);
         }
-        return;
     }
-    auto document = decode_partition(value.value);
-    if (!document) {
+}
+
+void controller::request_description(const gossip& heard, const host_id& from, monotonic_time now)
+{
+    const auto have = this->descriptions.version();
+    if (heard.description_version <= have || now < this->next_description_request) {
         return;
     }
-    auto& known = this->partitions[document->id];
-    if (!known || document->version > known->version) {
-        known = std::make_shared<const partition>(std::move(*document));
-        this->changed = true;
-    }
+    this->next_description_request = now + description_request_interval;
+    this->send(from, document_request{.above = {.id = {}, .version = have}, .description = true});
 }
 
-void controller::create_missing_partitions(monotonic_time now)
+void controller::take_hints(const peer_message& message)
 {
-    if (!this->shared || !this->partitions_known) {
+    const gossip* heard = nullptr;
+    if (const auto* body = std::get_if<probe>(&message.body)) {
+        heard = &body->news;
+    }
+    if (const auto* body = std::get_if<probe_answer>(&message.body)) {
+        heard = &body->news;
+    }
+    if (heard == nullptr) {
         return;
     }
-    for (const auto& one : this->shared->services) {
-        for (std::uint32_t number = 0; number < one.partitions; ++number) {
-            const partition_id id{.service = one.name, .number = number};
-            const bool mine =
-                preferred_host(store_key(id), this->live_names(now)) == this->self.name;
-            if (this->partitions.contains(id) || !mine) {
-                continue;
-            }
-            auto document =
-                first_assignment(*this->shared, id, this->live_names(now), this->self.name.value);
-            if (document.slices.empty()) {
-                continue;
-            }
-            this->partitions_known = false;
-            this->ask_store(compare_and_swap{
-                .key = store_key(id), .expected_revision = 0, .value = encode(document)});
+    for (const auto& hint : heard->coordinators) {
+        auto& present = this->hints[hint.server];
+        if (hint.term >= present.term) {
+            present = hint;
         }
     }
 }
 
-void controller::renew_grants(monotonic_time now)
+void controller::publish_if_changed(monotonic_time now)
 {
-    if (!this->shared) {
+    const auto& shared = this->descriptions.latest();
+    if (!shared) {
         return;
     }
-    const auto live = this->live_names(now);
-    for (const auto& server : this->shared->backend_servers) {
-        const auto coordinator = preferred_host(server.name.value, live);
-        auto& route = this->routes[server.name];
-        if (route.coordinator != coordinator) {
-            route.coordinator = coordinator;
-            this->changed = true;
-        }
-        auto& state = this->granted[server.name];
-        if (coordinator == this->self.name && now >= state.next_grant) {
-            this->send_grant(server, state, now);
+    for (auto& hint : this->owned.coordinated(now)) {
+        auto& present = this->hints[hint.server];
+        if (hint.term >= present.term) {
+            present = std::move(hint);
         }
     }
+    auto routes = this->present_routes();
+    const bool same = this->published && this->published->shared == shared &&
+                      this->published->partitions == this->owned.partitions() &&
+                      this->published->hosts == this->hosts &&
+                      same_routes(this->published->servers, routes);
+    if (same) {
+        return;
+    }
+    this->published = std::make_shared<const routing_snapshot>(
+        routing_snapshot{.shared = shared,
+                         .partitions = this->owned.partitions(),
+                         .servers = std::move(routes),
+                         .hosts = this->hosts});
+    // Before the actions that rest on it.
+    this->actions.insert(this->actions.begin(), publish_routes{this->published});
 }
 
-void controller::send_grant(const backend_server& server, granted_server& state, monotonic_time now)
+std::map<backend_server_id, server_route> controller::present_routes() const
 {
-    state.next_grant = now + this->settings.grant_interval;
-    state.sent_at = now;
-    ++state.sequence;
-    grant what{.coordinator = this->self.name,
-               .sequence = state.sequence,
-               .term = state.term,
-               .duration = this->settings.grant_duration,
-               .slices = {}};
-    for (const auto& [id, document] : this->partitions) {
-        for (std::size_t i = 0; i < document->slices.size(); ++i) {
-            if (owner_of(*document, i) == server.name) {
-                what.slices.push_back({.first = document->slices[i].first,
-                                       .last = last_hash(*document, i),
-                                       .fence = document->slices[i].fence});
-            }
-        }
+    std::map<backend_server_id, server_route> out;
+    for (const auto& server : this->descriptions.latest()->backend_servers) {
+        out[server.name] = this->route_to(server);
     }
-    this->actions.emplace_back(call_server{.server = server.name,
-                                           .address = server.address,
-                                           .what = std::move(what),
-                                           .timeout = this->settings.grant_timeout});
+    return out;
 }
 
-void controller::publish_if_changed(monotonic_time now)
+server_route controller::route_to(const backend_server& server) const
 {
-    if (!this->changed || !this->shared) {
-        return;
-    }
-    this->changed = false;
-    auto snapshot = std::make_shared<routing_snapshot>();
-    snapshot->shared = this->shared;
-    snapshot->partitions = this->partitions;
-    const auto hosts = this->peers.live_hosts(now);
-    for (const auto& server : this->shared->backend_servers) {
-        auto& route = this->routes[server.name];
-        route.server = server.name;
-        route.address = server.address;
-        route.coordinated_here = route.coordinator == this->self.name;
-        route.takes_new_work = receives_work(*this->shared, server);
-        const auto host = std::ranges::find(hosts, route.coordinator, &host_state::host);
-        route.forward_address = host == hosts.end() ? std::string{} : host->forward_address;
-    }
-    snapshot->servers = this->routes;
-    snapshot->hosts = hosts;
-    this->actions.emplace_back(publish_routes{std::move(snapshot)});
+    const auto find_host = [this](const host_id& name) {
+        return std::ranges::find(this->hosts, name, &host_state::host);
+    };
+    const auto hint = this->hints.find(server.name);
+    const bool hinted =
+        hint != this->hints.end() && find_host(hint->second.host) != this->hosts.end();
+    const auto name =
+        hinted ? hint->second.host
+               : preferred_in_domain(server.name.value, server.failure_domain, this->hosts);
+    const auto host = find_host(name);
+    return {.server = server.name,
+            .address = server.address,
+            .coordinator = name,
+            .forward_address = host == this->hosts.end() ? std::string{} : host->forward_address,
+            .coordinated_here = name == this->self.name,
+            .takes_new_work = receives_work(*this->descriptions.latest(), server)};
 }
 
-gossip controller::news() const
+gossip controller::news(monotonic_time now) const
 {
     gossip out;
-    out.description_version = this->shared ? this->shared->version : 0;
-    for (const auto& [id, document] : this->partitions) {
+    out.description_version = this->descriptions.version();
+    for (const auto& [id, document] : this->owned.partitions()) {
         out.partitions.push_back({.id = id, .version = document->version});
     }
+    out.coordinators = this->owned.coordinated(now);
     return out;
 }
 
-std::vector<host_id> controller::live_names(monotonic_time now) const
+surroundings controller::around(monotonic_time now)
+{
+    if (this->hosts.empty()) {
+        this->hosts = this->peers.live_hosts(now);
+    }
+    return {.shared = this->descriptions.latest(), .hosts = this->hosts};
+}
+
+void controller::send(const host_id& to, peer_body body)
 {
-    std::vector<host_id> names;
-    for (const auto& host : this->peers.live_hosts(now)) {
-        names.push_back(host.host);
+    const auto host = std::ranges::find(this->hosts, to, &host_state::host);
+    if (host != this->hosts.end()) {
+        this->actions.emplace_back(
+            send_to_host{.address = host->peer_address, .body = std::move(body)});
     }
-    return names;
 }
 
-void controller::ask_store(store_call what)
+void controller::add(control_actions more)
 {
-    this->actions.emplace_back(call_store{.call = this->next_call++, .what = std::move(what)});
+    std::ranges::move(more, std::back_inserter(this->actions));
 }
 
 } // namespace figreach
--- /dev/null
+++ b/src/ownership.cpp
@@ -0,0 +1,670 @@
+#include "figreach/ownership.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "figreach/assigner.h"
+#include "figreach/document_codec.h"
+#include "figreach/validator_choice.h"
+
+namespace figreach {
+
+namespace {
+
+constexpr milliseconds document_request_interval{100};
+constexpr milliseconds first_read_all_interval{500};
+constexpr unsigned most_doublings = 4;
+constexpr std::size_t spare_pollers = 2;
+constexpr std::uint64_t first_call = 1ULL << 63U; ///< keeps clear of other modules' calls
+
+bool lists(const partition& document, const backend_server_id& server)
+{
+    return std::ranges::find(document.backend_servers, server) != document.backend_servers.end();
+}
+
+std::string prefix_of(const host_identity& self)
+{
+    return self.name.value + "/" + std::to_string(self.incarnation);
+}
+
+std::set<host_id> all_validators(const partition& document)
+{
+    std::set<host_id> out(document.validators.begin(), document.validators.end());
+    out.insert(document.previous_validators.begin(), document.previous_validators.end());
+    return out;
+}
+
+} // namespace
+
+ownership::partition_state::partition_state(const partition_id& id,
+                                            const ownership_settings& settings,
+                                            const std::string& writer_prefix)
+    : asked{settings}, writer{id, writer_prefix}
+{
+}
+
+ownership::ownership(host_identity self_, ownership_settings settings_, placement wanted_)
+    : self{std::move(self_)},
+      settings{settings_},
+      wanted{std::move(wanted_)},
+      own_validator{settings_},
+      next_call{first_call}
+{
+}
+
+control_actions ownership::on_tick(const surroundings& around_, monotonic_time now)
+{
+    this->start(now);
+    this->around = around_;
+    this->read_all(now);
+    this->poll(now);
+    return this->drive(around_, now);
+}
+
+control_actions ownership::on_message(const peer_message& message, const surroundings& around_,
+                                      monotonic_time now)
+{
+    this->start(now);
+    this->around = around_;
+    this->receive(message, now);
+    return this->drive(around_, now);
+}
+
+control_actions ownership::on_store(const store_answered& event, const surroundings& around_,
+                                    monotonic_time now)
+{
+    this->start(now);
+    if (this->open_read_all == event.call) {
+        this->open_read_all.reset();
+        const auto* read = std::get_if<store_read>(&event.result);
+        this->silent_reads = read == nullptr ? this->silent_reads + 1 : 0;
+        for (const auto& value : read == nullptr ? std::vector<stored_value>{} : read->values) {
+            if (auto document = decode_partition(value.value)) {
+                this->learn(std::move(*document), false);
+            }
+        }
+        this->store_seen = this->store_seen || read != nullptr;
+        if (read != nullptr) {
+            this->own_validator.trust_store();
+        }
+        return this->drive(around_, now);
+    }
+    const auto found = this->open_calls.find(event.call);
+    if (found == this->open_calls.end()) {
+        return {};
+    }
+    auto& state = this->state_of(found->second);
+    this->open_calls.erase(found);
+    if (auto document = state.writer.on_result(event.result)) {
+        this->learn(std::move(*document), true);
+    }
+    return this->drive(around_, now);
+}
+
+control_actions ownership::on_server(const server_answered& event, const surroundings& around_,
+                                     monotonic_time now)
+{
+    this->start(now);
+    const auto found = this->servers.find(event.server);
+    if (found != this->servers.end() && found->second.role) {
+        found->second.role->on_answer(event.sequence, event.answer, now);
+    }
+    return this->drive(around_, now);
+}
+
+void ownership::on_load(const load_seen& event)
+{
+    this->servers[event.server].load = event;
+}
+
+void ownership::on_idle(const slices_idle& event)
+{
+    const auto document = this->known.find(event.known.id);
+    const auto found = this->servers.find(event.server);
+    const bool applies = document != this->known.end() && found != this->servers.end() &&
+                         document->second->version <= event.known.version && found->second.role;
+    if (!applies) {
+        return;
+    }
+    std::vector<leaving_slice> idle;
+    for (const auto& slice : document->second->slices) {
+        if (std::ranges::find(event.firsts, slice.first) != event.firsts.end()) {
+            idle.push_back({.id = event.known.id, .first = slice.first, .fence = slice.fence});
+        }
+    }
+    found->second.role->on_idle(idle);
+}
+
+const ownership::documents& ownership::partitions() const
+{
+    return this->known;
+}
+
+std::vector<coordinator_hint> ownership::coordinated(monotonic_time now) const
+{
+    std::vector<coordinator_hint> out;
+    for (const auto& [name, state] : this->servers) {
+        if (state.role && this->describe(name, now).authority_until > now) {
+            out.push_back({.server = name, .host = this->self.name, .term = state.role->term()});
+        }
+    }
+    return out;
+}
+
+void ownership::start(monotonic_time now)
+{
+    if (!this->started_at) {
+        this->started_at = now;
+        this->own_validator.start(now);
+    }
+}
+
+control_actions ownership::drive(const surroundings& around_, monotonic_time now)
+{
+    this->around = around_;
+    for (const auto& host : this->around.hosts) {
+        this->addresses[host.host] = host.peer_address;
+        this->seen_at[host.host] = now;
+    }
+    this->ask_validators(now);
+    this->finish_recovery(now);
+    this->coordinate(now);
+    if (this->around.shared) {
+        for (const auto& service : this->around.shared->services) {
+            for (std::uint32_t number = 0; number < service.partitions; ++number) {
+                const partition_id id{.service = service.name, .number = number};
+                this->assign(id, this->state_of(id), now);
+            }
+        }
+    }
+    return std::exchange(this->actions, {});
+}
+
+ownership::partition_state& ownership::state_of(const partition_id& id)
+{
+    return this->states.try_emplace(id, id, this->settings, prefix_of(this->self)).first->second;
+}
+
+// Documents and their spreading.
+
+void ownership::learn(partition document, bool spread)
+{
+    const partition_version version{.id = document.id, .version = document.version};
+    this->own_validator.learn(version);
+    auto& present = this->known[document.id];
+    if (present && present->version >= document.version) {
+        return;
+    }
+    if (spread) {
+        this->offer(document);
+    }
+    present = std::make_shared<const partition>(std::move(document));
+}
+
+void ownership::offer(const partition& document)
+{
+    const document_offer body{.partition = encode(document), .description = {}};
+    for (const auto& host : this->around.hosts) {
+        if (host.host != this->self.name) {
+            this->actions.emplace_back(send_to_host{.address = host.peer_address, .body = body});
+        }
+    }
+}
+
+void ownership::request_newer(const partition_version& heard, const host_id& from,
+                              monotonic_time now)
+{
+    const auto found = this->known.find(heard.id);
+    const auto have = found == this->known.end() ? 0 : found->second->version;
+    auto& state = this->state_of(heard.id);
+    if (heard.version <= have || now < state.next_request) {
+        return;
+    }
+    state.next_request = now + document_request_interval;
+    this->send(from,
+               document_request{.above = {.id = heard.id, .version = have}, .description = false},
+               now);
+}
+
+void ownership::receive(const peer_message& message, monotonic_time now)
+{
+    std::visit([&](const auto& body) { this->receive(message, body, now); }, message.body);
+}
+
+void ownership::receive(const peer_message& from, const probe& body, monotonic_time now)
+{
+    for (const auto& version : body.news.partitions) {
+        this->request_newer(version, from.sender, now);
+    }
+}
+
+void ownership::receive(const peer_message& from, const probe_answer& body, monotonic_time now)
+{
+    for (const auto& version : body.news.partitions) {
+        this->request_newer(version, from.sender, now);
+    }
+}
+
+void ownership::receive(const peer_message& from, const confirm_request& body, monotonic_time now)
+{
+    const auto answer = this->own_validator.answer(from, body, now);
+    this->send(from.sender, answer, now);
+    this->request_newer(body.known, from.sender, now);
+}
+
+void ownership::receive(const peer_message& from, const confirm_answer& body, monotonic_time now)
+{
+    this->state_of(body.known.id).asked.on_answer(from.sender, body);
+    this->request_newer(body.known, from.sender, now);
+}
+
+void ownership::receive(const peer_message& from, const document_request& body, monotonic_time now)
+{
+    const auto found = this->known.find(body.above.id);
+    const bool newer = found != this->known.end() && found->second->version > body.above.version;
+    if (!body.description && newer) {
+        this->send(from.sender,
+                   document_offer{.partition = encode(*found->second), .description = {}}, now);
+    }
+}
+
+void ownership::receive(const peer_message&, const document_offer& body, monotonic_time)
+{
+    if (body.partition.empty()) {
+        return;
+    }
+    if (auto document = decode_partition(body.partition)) {
+        this->learn(std::move(*document), false);
+    }
+}
+
+void ownership::receive(const peer_message&, const load_report& body, monotonic_time now)
+{
+    this->wanted.on_report(body, now);
+}
+
+void ownership::receive(const peer_message&, const released& body, monotonic_time)
+{
+    this->state_of(body.known.id).moves.on_released(body);
+}
+
+// Validators.
+
+void ownership::ask_validators(monotonic_time now)
+{
+    for (const auto& [id, document] : this->known) {
+        auto& state = this->state_of(id);
+        auto wanted_now = this->wanted_servers(*document);
+        const bool changing =
+            !document->previous_validators.empty() && this->assigning_host(id) == this->self.name;
+        const bool recovering = this->own_validator.recovering(id, now);
+        const bool needed =
+            !wanted_now.empty() || !state.asked_servers.empty() || changing || recovering;
+        const bool differs =
+            wanted_now != state.asked_servers || document->version != state.asked_version;
+        if (needed && (differs || now >= state.next_ask)) {
+            this->ask_round(*document, state, wanted_now, now);
+        }
+    }
+}
+
+void ownership::ask_round(const partition& document, partition_state& state,
+                          const std::vector<backend_server_id>& asked, monotonic_time now)
+{
+    state.next_ask = now + this->settings.confirm_interval;
+    state.asked_version = document.version;
+    state.asked_servers = asked;
+    const auto request = state.asked.ask(document, asked, now);
+    for (const auto& validator : all_validators(document)) {
+        this->send(validator, request, now);
+    }
+}
+
+std::vector<backend_server_id> ownership::wanted_servers(const partition& document) const
+{
+    std::vector<backend_server_id> out;
+    for (const auto& name : document.backend_servers) {
+        const auto* server =
+            this->around.shared ? find_server(*this->around.shared, name) : nullptr;
+        const auto domain = server == nullptr ? failure_domain_id{} : server->failure_domain;
+        if (preferred_in_domain(name.value, domain, this->around.hosts) == this->self.name) {
+            out.push_back(name);
+        }
+    }
+    return out;
+}
+
+/// A recovering validator that hears from a majority that none knows more may confirm again.
+void ownership::finish_recovery(monotonic_time now)
+{
+    for (const auto& [id, document] : this->known) {
+        const auto version = this->own_validator.version_of(id);
+        const bool current = this->state_of(id).asked.known_version() == version;
+        if (this->own_validator.recovering(id, now) && current) {
+            this->own_validator.trust(id);
+        }
+    }
+}
+
+// Coordinator.
+
+void ownership::coordinate(monotonic_time now)
+{
+    std::set<backend_server_id> names;
+    for (const auto& [id, document] : this->known) {
+        names.insert(document->backend_servers.begin(), document->backend_servers.end());
+    }
+    for (const auto& name : names) {
+        this->coordinate_server(name, now);
+    }
+    for (const auto& [id, document] : this->known) {
+        this->release(*document, this->state_of(id), now);
+    }
+}
+
+void ownership::coordinate_server(const backend_server_id& name, monotonic_time now)
+{
+    auto& state = this->servers[name];
+    const auto what = this->describe(name, now);
+    if (now >= what.authority_until) {
+        state.role.reset();
+        this->tell_authority(name, state, what, now);
+        return;
+    }
+    if (!state.role) {
+        state.role.emplace(this->self.name, this->settings, now);
+    }
+    this->send_grant(name, *state.role, what, now);
+    this->tell_authority(name, state, what, now);
+    this->report(name, state, now);
+}
+
+coordinated_server ownership::describe(const backend_server_id& name, monotonic_time now) const
+{
+    coordinated_server out;
+    out.authority_until = monotonic_time::max();
+    bool listed = false;
+    for (const auto& [id, document] : this->known) {
+        if (!lists(*document, name)) {
+            continue;
+        }
+        listed = true;
+        const auto& asked = this->states.at(id).asked;
+        out.authority_until = std::min(out.authority_until, asked.authority_until(name));
+        if (this->around.shared) {
+            const auto* service = find_service(*this->around.shared, id.service);
+            out.checks_fences = service == nullptr || service->checks_fences;
+            out.longest_deadline = service == nullptr ? milliseconds{0} : service->longest_deadline;
+        }
+        for (std::size_t i = 0; i < document->slices.size(); ++i) {
+            const auto& slice = document->slices[i];
+            if (owner_of(*document, i) != name) {
+                continue;
+            }
+            if (slice.moving_to) {
+                out.leaving.push_back({.id = id, .first = slice.first, .fence = slice.fence});
+            }
+            else {
+                out.slices.push_back(
+                    {.first = slice.first, .last = last_hash(*document, i), .fence = slice.fence});
+            }
+        }
+    }
+    if (!listed) {
+        out.authority_until = now;
+    }
+    return out;
+}
+
+void ownership::send_grant(const backend_server_id& name, coordinator& role,
+                           const coordinated_server& what, monotonic_time now)
+{
+    auto grant = role.next_grant(what, now);
+    const auto* server = this->around.shared ? find_server(*this->around.shared, name) : nullptr;
+    if (!grant || server == nullptr) {
+        return;
+    }
+    this->actions.emplace_back(call_server{.server = name,
+                                           .address = server->address,
+                                           .what = std::move(*grant),
+                                           .timeout = this->settings.grant_timeout});
+}
+
+void ownership::tell_authority(const backend_server_id& name, server_state& state,
+                               const coordinated_server& what, monotonic_time now)
+{
+    const auto until = state.role ? state.role->may_send_until(what) : now;
+    const bool ends = !state.role && state.told_until > now;
+    const bool extends = state.role && until > state.told_until;
+    const auto answer = state.role ? state.role->last_answer() : grant_answer{};
+    const bool restarted = state.role && answer.incarnation != state.told_incarnation;
+    if (!ends && !extends && !restarted) {
+        return;
+    }
+    state.told_until = until;
+    state.told_incarnation = answer.incarnation;
+    const auto elsewhere = state.role ? state.role->in_flight_elsewhere(what, now) : 0;
+    this->actions.emplace_back(extend_authority{.server = name,
+                                                .until = until,
+                                                .in_flight_elsewhere = elsewhere,
+                                                .incarnation = answer.incarnation,
+                                                .cold = answer.cold});
+}
+
+void ownership::report(const backend_server_id& name, server_state& state, monotonic_time now)
+{
+    const auto condition = state.role->condition(now);
+    if (now < state.next_report && condition == state.told_condition) {
+        return;
+    }
+    // A loss is told again soon, since the first message may be lost.
+    const bool lost = condition == server_condition::lost;
+    const auto wait = lost ? this->settings.confirm_interval : this->settings.report_interval;
+    state.next_report = now + wait;
+    state.told_condition = condition;
+    const auto* server = this->around.shared ? find_server(*this->around.shared, name) : nullptr;
+    const auto slots = server == nullptr ? 1U : std::max(1U, server->slots);
+    const auto& answer = state.role->last_answer();
+    const auto busy = std::min(1.0, static_cast<double>(answer.in_flight) / slots);
+    for (const auto& [id, document] : this->known) {
+        if (!lists(*document, name)) {
+            continue;
+        }
+        load_report body{.id = id,
+                         .server = name,
+                         .condition = condition,
+                         .incarnation = answer.incarnation,
+                         .slices = {},
+                         .latency = {},
+                         .busy = busy};
+        std::ranges::copy_if(state.load.slices, std::back_inserter(body.slices),
+                             [&document](const slice_load& load) {
+                                 return std::ranges::binary_search(document->slices, load.first, {},
+                                                                   &slice::first);
+                             });
+        this->send(this->assigning_host(id), std::move(body), now);
+    }
+}
+
+/// Tells the assigning host which moving slices are no longer served, once most validators know
+/// the version in which they move: no later coordinator grants them under their present fence.
+void ownership::release(const partition& document, partition_state& state, monotonic_time now)
+{
+    if (now < state.next_release) {
+        return;
+    }
+    for (const auto& name : document.backend_servers) {
+        const auto found = this->servers.find(name);
+        const bool confirmed = state.asked.confirmed_version(name) >= document.version;
+        if (found == this->servers.end() || !found->second.role || !confirmed) {
+            continue;
+        }
+        const auto what = this->describe(name, now);
+        released body{.known = {.id = document.id, .version = document.version},
+                      .server = name,
+                      .slices = {}};
+        for (const auto& slice : what.leaving) {
+            if (slice.id == document.id && found->second.role->stopped(slice, what, now)) {
+                body.slices.push_back({.first = slice.first, .fence = slice.fence});
+            }
+        }
+        if (!body.slices.empty()) {
+            state.next_release = now + this->settings.release_interval;
+            this->send(this->assigning_host(document.id), std::move(body), now);
+        }
+    }
+}
+
+// Store.
+
+/// At the start: all documents, until the store told them once.
+void ownership::read_all(monotonic_time now)
+{
+    if (this->store_seen || this->open_read_all || now < this->next_read_all) {
+        return;
+    }
+    const auto doublings = std::min(this->silent_reads, most_doublings);
+    this->next_read_all = now + first_read_all_interval * (1U << doublings);
+    this->open_read_all = this->next_call++;
+    this->actions.emplace_back(call_store{.call = *this->open_read_all,
+                                          .what = read_prefix{std::string{partition_prefix}}});
+}
+
+/// The assigning host of a partition looks for newer versions, and two more hosts less often.
+void ownership::poll(monotonic_time now)
+{
+    if (!this->store_seen || !this->around.shared) {
+        return;
+    }
+    for (auto& [id, state] : this->states) {
+        const auto order = by_preference(store_key(id), this->around.hosts);
+        const auto own = std::ranges::find(order, this->self.name);
+        const auto rank = static_cast<std::size_t>(own - order.begin());
+        if (rank > spare_pollers) {
+            continue;
+        }
+        const auto interval =
+            rank == 0 ? this->settings.store_poll : this->settings.store_spare_poll;
+        if (auto read = state.writer.read(interval, now)) {
+            this->call(id, std::move(*read));
+        }
+    }
+}
+
+void ownership::assign(const partition_id& id, partition_state& state, monotonic_time now)
+{
+    if (this->assigning_host(id) != this->self.name) {
+        return;
+    }
+    const auto found = this->known.find(id);
+    const auto version = found == this->known.end() ? 0 : found->second->version;
+    if (!state.writer.ready(version)) {
+        // Another host wrote since this one last read.
+        if (auto read = state.writer.read(this->settings.confirm_interval, now)) {
+            this->call(id, std::move(*read));
+        }
+        return;
+    }
+    if (version == 0) {
+        this->create(id, state, now);
+        return;
+    }
+    if (auto changed = this->next_change(*found->second, state, now)) {
+        this->call(id, state.writer.write(std::move(*changed)));
+    }
+}
+
+void ownership::create(const partition_id& id, partition_state& state, monotonic_time now)
+{
+    if (!state.writer.absent() || now < *this->started_at + this->settings.settle_after) {
+        return;
+    }
+    auto first =
+        first_assignment(*this->around.shared, id, choose_validators(id, this->around.hosts), {});
+    if (!first.slices.empty() && !first.validators.empty()) {
+        this->call(id, state.writer.write(std::move(first)));
+    }
+}
+
+std::optional<partition> ownership::next_change(const partition& present, partition_state& state,
+                                                monotonic_time now)
+{
+    if (auto completed = state.moves.complete(present)) {
+        return completed;
+    }
+    if (auto changed = this->change_validators(present, state, now)) {
+        return changed;
+    }
+    auto planned = this->wanted.plan(present, *this->around.shared, now);
+    const bool sound = planned && *planned != present && defect_of(*planned).empty() &&
+                       keeps_moves(present, *planned);
+    return sound ? planned : std::nullopt;
+}
+
+/// Replaces validators whose hosts are gone for long. Both sets confirm until a majority of the
+/// old one knows the change and the holds that it gave before have run out.
+std::optional<partition> ownership::change_validators(const partition& present,
+                                                      partition_state& state, monotonic_time now)
+{
+    auto changed = present;
+    if (!present.previous_validators.empty()) {
+        if (state.asked.known_version() < present.version) {
+            return std::nullopt;
+        }
+        const auto wait = this->settings.authority + this->settings.drift_margin;
+        if (!state.settled_since) {
+            state.settled_since = now;
+        }
+        if (now < *state.settled_since + wait) {
+            return std::nullopt;
+        }
+        changed.previous_validators.clear();
+        return changed;
+    }
+    state.settled_since.reset();
+    const auto gone = [this, now](const host_id& host) {
+        const auto seen = this->seen_at.find(host);
+        const auto last = seen == this->seen_at.end() ? *this->started_at : seen->second;
+        return now >= last + this->settings.replace_validator_after;
+    };
+    auto chosen = choose_validators(present.id, this->around.hosts);
+    const bool settled = now >= *this->started_at + this->settings.settle_after;
+    const bool too_few = settled && chosen.size() > present.validators.size();
+    if (!too_few && std::ranges::none_of(present.validators, gone)) {
+        return std::nullopt;
+    }
+    changed.previous_validators = present.validators;
+    changed.validators = std::move(chosen);
+    return changed;
+}
+
+void ownership::call(const partition_id& id, store_call what)
+{
+    const auto number = this->next_call++;
+    this->open_calls[number] = id;
+    this->actions.emplace_back(call_store{.call = number, .what = std::move(what)});
+}
+
+host_id ownership::assigning_host(const partition_id& id) const
+{
+    return preferred_in_domain(store_key(id), {}, this->around.hosts);
+}
+
+void ownership::send(const host_id& to, peer_body body, monotonic_time now)
+{
+    if (to == this->self.name) {
+        this->receive({.sender = this->self.name,
+                       .incarnation = this->self.incarnation,
+                       .body = std::move(body)},
+                      now);
+        return;
+    }
+    const auto address = this->addresses.find(to);
+    if (address != this->addresses.end()) {
+        this->actions.emplace_back(
+            send_to_host{.address = address->second, .body = std::move(body)});
+    }
+}
+
+} // namespace figreach
--- a/src/programs/figreach-standin/backend.cpp
+++ b/src/programs/figreach-standin/backend.cpp
@@ -1,6 +1,7 @@
 #include "backend.h"
 
 #include <charconv>
+#include <map>
 #include <vector>
 
 #include <boost/asio/as_tuple.hpp>
@@ -31,6 +32,8 @@
 
 namespace {
 
+constexpr std::size_t remembered_answers = 32;
+
 /// One request that this server ran.
 struct execution {
     std::string request_id;
@@ -85,10 +88,11 @@
             out.result(http::status::bad_request);
             return out;
         }
-        const bool accepted = asked->term >= this->present.term;
+        const bool later =
+            asked->term == this->present.term && asked->sequence > this->present.sequence;
+        const bool accepted = asked->term > this->present.term || later;
         if (accepted) {
-            this->present = *asked;
-            this->granted_until = monotonic_time::clock::now() + asked->duration;
+            this->accept_grant(*asked);
         }
         out.body() = to_json(grant_answer{.accepted = accepted,
                                           .sequence = asked->sequence,
@@ -100,6 +104,22 @@
         return out;
     }
 
+    /// The duration of a grant starts with the answer that it names.
+    void accept_grant(const grant& asked)
+    {
+        if (asked.term > this->present.term) {
+            this->answered_at.clear();
+        }
+        const auto start = this->answered_at.find(asked.after);
+        const bool known = start != this->answered_at.end();
+        this->granted_until = known ? start->second + asked.duration : monotonic_time{};
+        this->present = asked;
+        this->answered_at[asked.sequence] = monotonic_time::clock::now();
+        if (this->answered_at.size() > remembered_answers) {
+            this->answered_at.erase(this->answered_at.begin());
+        }
+    }
+
     bool may_serve(const request& in) const
     {
         if (!this->settings.checks_fences) {
@@ -168,6 +188,7 @@
     backend_settings settings;
     grant present;
     monotonic_time granted_until{};
+    std::map<std::uint64_t, monotonic_time> answered_at; ///< by sequence, of the present term
     std::uint32_t in_flight = 0;
     std::vector<execution> executions;
 };
--- a/src/routing.cpp
+++ b/src/routing.cpp
@@ -23,6 +23,9 @@
     out.document = found->second.get();
     out.slice = slice_index(*out.document, out.hash);
     out.fence = out.document->slices[out.slice].fence;
+    if (out.document->slices[out.slice].moving_to) {
+        return out;
+    }
     const auto server = snapshot.servers.find(owner_of(*out.document, out.slice));
     if (server != snapshot.servers.end()) {
         out.server = &server->second;
