Property test of the ownership protocol, table of faults, broken rules

Cause: safety of the protocol rested on reasoning alone. Ruled out: a cluster simulator; the fakes are a store, a network, servers and faults in one header. Change: rapidcheck schedules of 15 kinds of fault, 28 rows of the table of faults for services with and without checked fences, four rules broken on purpose. A host that does not hear the validators no longer holds servers there: the row 'host deaf' had shown a key away for 2491 ms.

--- a/include/figreach/confirmation.h
+++ b/include/figreach/confirmation.h
@@ -29,6 +29,8 @@
     [[nodiscard]] monotonic_time authority_until(const backend_server_id& server) const;
     /// The highest version at which a majority confirmed this host for a backend server.
     [[nodiscard]] std::uint64_t confirmed_version(const backend_server_id& server) const;
+    /// When the latest round began that a majority answered in any way; long ago: none.
+    [[nodiscard]] monotonic_time heard_at() const;
     /// The highest version that a majority, none of it recovering, knew and knew no higher one.
     [[nodiscard]] std::uint64_t known_version() const;
 
@@ -38,6 +40,7 @@
         std::uint64_t version = 0;
         std::vector<host_id> validators;
         std::vector<host_id> previous_validators;
+        std::set<host_id> answered;
         std::set<host_id> agreed;
         std::map<backend_server_id, std::set<host_id>> confirmed;
     };
@@ -54,6 +57,7 @@
     std::map<std::uint64_t, round> rounds;
     std::map<backend_server_id, authority> authorities;
     std::uint64_t known = 0;
+    monotonic_time heard{};
 };
 
 } // namespace figreach
--- a/include/figreach/control.h
+++ b/include/figreach/control.h
@@ -40,8 +40,8 @@
     std::vector<slice_load> slices;
 };
 
-/// The data path has taken up this version or a later one, and none of its requests for these
-/// slices of the backend server, which move away in that version, is in flight.
+/// The data path has taken up this version or a later one, and all its requests for these slices
+/// of the backend server, which move away in that version, were answered or passed their deadline.
 struct slices_idle {
     partition_version known;
     backend_server_id server;
--- a/src/confirmation.cpp
+++ b/src/confirmation.cpp
@@ -35,6 +35,7 @@
                                       .version = document.version,
                                       .validators = document.validators,
                                       .previous_validators = document.previous_validators,
+                                      .answered = {},
                                       .agreed = {},
                                       .confirmed = {}};
     for (const auto& server : servers) {
@@ -55,6 +56,10 @@
         return;
     }
     auto& one = found->second;
+    one.answered.insert(from);
+    if (is_majority(one, one.answered)) {
+        this->heard = std::max(this->heard, one.asked_at);
+    }
     if (answer.recovering || answer.known.version != one.version) {
         return;
     }
@@ -80,6 +85,11 @@
     return found == this->authorities.end() ? 0 : found->second.version;
 }
 
+monotonic_time confirmation::heard_at() const
+{
+    return this->heard;
+}
+
 std::uint64_t confirmation::known_version() const
 {
     return this->known;
--- a/src/ownership.cpp
+++ b/src/ownership.cpp
@@ -296,11 +296,15 @@
     for (const auto& [id, document] : this->known) {
         auto& state = this->state_of(id);
         auto wanted_now = this->wanted_servers(*document);
+        const bool wants = !wanted_now.empty();
+        if (now >= state.asked.heard_at() + this->settings.authority) {
+            // A host that does not hear the validators must not hold servers there for nothing.
+            wanted_now.clear();
+        }
         const bool changing =
             !document->previous_validators.empty() && this->assigning_host(id) == this->self.name;
         const bool recovering = this->own_validator.recovering(id, now);
-        const bool needed =
-            !wanted_now.empty() || !state.asked_servers.empty() || changing || recovering;
+        const bool needed = wants || !state.asked_servers.empty() || changing || recovering;
         const bool differs =
             wanted_now != state.asked_servers || document->version != state.asked_version;
         if (needed && (differs || now >= state.next_ask)) {
--- /dev/null
+++ b/test/ownership_test.cpp
@@ -0,0 +1,307 @@
+#include "figreach/ownership.h"
+
+#include <algorithm>
+#include <cstdio>
+
+#include "ownership_world.h"
+#include "property.h"
+
+using namespace figreach;
+using namespace ownership_fakes;
+
+namespace {
+
+constexpr milliseconds schedule_start{3000};
+constexpr milliseconds schedule_length{5000};
+constexpr milliseconds longest_fault{2500};
+constexpr milliseconds recovery_time{5000};
+
+rc::Gen<milliseconds> time_below(milliseconds end)
+{
+    return rc::gen::map(rc::gen::inRange<int>(0, static_cast<int>(end.count())),
+                        [](int count) { return milliseconds{count}; });
+}
+
+rc::Gen<fault_step> any_step()
+{
+    const auto kind = rc::gen::map(rc::gen::inRange(0, fault_kinds),
+                                   [](int number) { return static_cast<fault_kind>(number); });
+    const auto at = rc::gen::map(time_below(schedule_length),
+                                 [](milliseconds time) { return schedule_start + time; });
+    return rc::gen::build<fault_step>(rc::gen::set(&fault_step::kind, kind),
+                                      rc::gen::set(&fault_step::who, rc::gen::inRange(0U, 30U)),
+                                      rc::gen::set(&fault_step::at, at),
+                                      rc::gen::set(&fault_step::lasts, time_below(longest_fault)));
+}
+
+void keeps_promises(bool checks_fences)
+{
+    const auto steps = *rc::gen::container<std::vector<fault_step>>(any_step());
+    const auto seed = *rc::gen::inRange<std::uint32_t>(1, 1U << 30U);
+    world one{{.checks_fences = checks_fences, .seed = seed}};
+    one.run(steps, schedule_start + schedule_length + longest_fault + recovery_time);
+    RC_ASSERT(one.violation == "");
+    RC_ASSERT(one.all_served());
+}
+
+/// One row of the table of faults in docs/ownership.md. `others` are further hosts, counted from
+/// the first one, that meet the fault of the row's `each`.
+struct fault_row {
+    const char* name;
+    std::vector<fault_kind> kinds;
+    unsigned hosts = 1; ///< so many hosts meet the host faults
+    milliseconds lasts{3000};
+    milliseconds most_away{2000}; ///< of any key
+};
+
+constexpr milliseconds at_once{100};
+constexpr milliseconds served_again{2000};
+constexpr milliseconds whole_fault{3000};
+constexpr milliseconds fault_and_recovery{whole_fault + served_again};
+
+const fault_row fault_rows[] = {
+    {"store down", {fault_kind::store_down}, 1, milliseconds{10000}, at_once},
+    {"store loses answers while slices move",
+     {fault_kind::store_loses_answers, fault_kind::move},
+     1,
+     whole_fault,
+     fault_and_recovery},
+    {"host cut off from the store", {fault_kind::host_without_store}, 1, whole_fault, at_once},
+    {"host cut off from store and hosts", {fault_kind::host_alone}, 1, whole_fault, served_again},
+    {"host unheard", {fault_kind::host_unheard}, 1, whole_fault, served_again},
+    {"host deaf", {fault_kind::host_deaf}, 1, whole_fault, served_again},
+    {"host and backend server cut off together",
+     {fault_kind::host_alone, fault_kind::server_split},
+     1,
+     whole_fault,
+     served_again},
+    {"host paused past its bound", {fault_kind::host_paused}, 1, whole_fault, served_again},
+    {"host lost and replaced", {fault_kind::host_restarted}, 1, whole_fault, served_again},
+    {"two of five hosts lost", {fault_kind::host_restarted}, 2, whole_fault, served_again},
+    {"three of five hosts lost and replaced",
+     {fault_kind::host_restarted},
+     3,
+     whole_fault,
+     fault_and_recovery},
+    {"all hosts lost and replaced",
+     {fault_kind::host_restarted},
+     5,
+     whole_fault,
+     fault_and_recovery},
+    {"backend server lost", {fault_kind::server_unreachable}, 1, whole_fault, served_again},
+    {"backend server frozen and back", {fault_kind::server_frozen}, 1, whole_fault, served_again},
+    {"backend server restarted", {fault_kind::server_restarted}, 1, at_once, served_again},
+    {"slices move", {fault_kind::move}, 1, whole_fault, served_again},
+    {"store down, host lost and replaced",
+     {fault_kind::store_down, fault_kind::host_restarted},
+     1,
+     whole_fault,
+     served_again},
+    {"store down, two of five hosts lost",
+     {fault_kind::store_down, fault_kind::host_restarted},
+     2,
+     whole_fault,
+     served_again},
+    {"store down, three of five hosts lost and replaced",
+     {fault_kind::store_down, fault_kind::host_restarted},
+     3,
+     whole_fault,
+     fault_and_recovery},
+    {"store down, host paused",
+     {fault_kind::store_down, fault_kind::host_paused},
+     1,
+     whole_fault,
+     served_again},
+    {"store down, backend server lost",
+     {fault_kind::store_down, fault_kind::server_unreachable},
+     1,
+     whole_fault,
+     fault_and_recovery},
+    {"store down, backend server frozen and back",
+     {fault_kind::store_down, fault_kind::server_frozen},
+     1,
+     whole_fault,
+     fault_and_recovery},
+    {"host lost, backend server lost",
+     {fault_kind::host_restarted, fault_kind::server_unreachable},
+     1,
+     whole_fault,
+     served_again},
+    {"host lost, backend server frozen and back",
+     {fault_kind::host_restarted, fault_kind::server_frozen},
+     1,
+     whole_fault,
+     served_again},
+    {"host paused, backend server frozen and back",
+     {fault_kind::host_paused, fault_kind::server_frozen},
+     1,
+     whole_fault,
+     served_again},
+    {"two of five hosts lost, backend server lost",
+     {fault_kind::host_restarted, fault_kind::server_unreachable},
+     2,
+     whole_fault,
+     served_again},
+    {"host cut off from the store, host paused",
+     {fault_kind::host_without_store, fault_kind::host_paused},
+     1,
+     whole_fault,
+     served_again},
+    {"messages lost, backend server lost",
+     {fault_kind::lossy, fault_kind::server_unreachable},
+     1,
+     whole_fault,
+     fault_and_recovery},
+};
+
+bool strikes_host(fault_kind kind)
+{
+    return kind == fault_kind::host_without_store || kind == fault_kind::host_alone ||
+           kind == fault_kind::host_unheard || kind == fault_kind::host_deaf ||
+           kind == fault_kind::host_paused || kind == fault_kind::host_restarted;
+}
+
+std::vector<fault_step> steps_of(const fault_row& row, unsigned host, unsigned server)
+{
+    std::vector<fault_step> out;
+    for (const auto kind : row.kinds) {
+        const auto count = strikes_host(kind) ? row.hosts : 1;
+        for (unsigned i = 0; i < count; ++i) {
+            out.push_back({.kind = kind,
+                           .who = strikes_host(kind) ? host + i : server,
+                           .at = schedule_start + milliseconds{37},
+                           .lasts = row.lasts});
+        }
+    }
+    return out;
+}
+
+/// Each host and each backend server meets the fault in turn, so that every role does.
+milliseconds longest_away(const fault_row& row, bool checks_fences)
+{
+    constexpr unsigned hosts = 5;
+    constexpr unsigned servers = 3;
+    milliseconds longest{0};
+    for (unsigned host = 0; host < hosts; ++host) {
+        for (unsigned server = 0; server < servers; ++server) {
+            world one{{.checks_fences = checks_fences, .seed = host * servers + server + 1}};
+            one.run(steps_of(row, host, server), schedule_start + row.lasts + recovery_time);
+            STRCMP_EQUAL_TEXT("", one.violation.c_str(), row.name);
+            CHECK_TRUE_TEXT(one.all_served(), row.name);
+            longest = std::max(longest, one.longest_away);
+        }
+    }
+    return longest;
+}
+
+void check_rows(bool checks_fences)
+{
+    for (const auto& row : fault_rows) {
+        const auto away = longest_away(row, checks_fences);
+        std::printf("%s: a key was away for at most %d ms\n", row.name,
+                    static_cast<int>(away.count()));
+        // Requests to a server that does not check fences are waited out besides.
+        const auto allowed = row.most_away + (checks_fences ? milliseconds{0} : longest_deadline);
+        CHECK_TRUE_TEXT(away <= allowed, row.name);
+    }
+}
+
+/// A rule that is broken on purpose, and the faults under which that shows.
+struct broken_row {
+    const char* name;
+    void (*damage)(world_settings&);
+    std::vector<fault_step> (*steps)(unsigned host, unsigned server);
+};
+
+const broken_row broken_rows[] = {
+    {"does not wait out old grants", [](world_settings& s) { s.rules.wait_out_grants = false; },
+     [](unsigned, unsigned server) {
+         return std::vector<fault_step>{
+             {fault_kind::server_unreachable, server, schedule_start, whole_fault},
+             {fault_kind::move, server, schedule_start + at_once, {}}};
+     }},
+    {"writes without compare", [](world_settings& s) { s.store_compares = false; },
+     [](unsigned host, unsigned server) {
+         return std::vector<fault_step>{
+             {fault_kind::host_deaf, host, schedule_start, whole_fault},
+             {fault_kind::move, server, schedule_start + whole_fault / 2, {}}};
+     }},
+    {"does not read again after a lost answer",
+     [](world_settings& s) { s.reread_after_silence = false; },
+     [](unsigned, unsigned server) {
+         return std::vector<fault_step>{
+             {fault_kind::store_loses_answers, 0, schedule_start, whole_fault},
+             {fault_kind::move, server, schedule_start, {}}};
+     }},
+    {"restarted host does not wait", [](world_settings& s) { s.rules.wait_after_restart = false; },
+     [](unsigned host, unsigned) {
+         std::vector<fault_step> out{{fault_kind::host_alone, host, schedule_start, whole_fault}};
+         for (unsigned other = 1; other < 5; ++other) {
+             out.push_back(
+                 {fault_kind::host_restarted, host + other, schedule_start, milliseconds{50}});
+         }
+         return out;
+     }},
+};
+
+bool caught(const broken_row& row, bool broken)
+{
+    constexpr unsigned hosts = 5;
+    constexpr unsigned servers = 3;
+    for (unsigned host = 0; host < hosts; ++host) {
+        for (unsigned server = 0; server < servers; ++server) {
+            world_settings settings{.seed = host * servers + server + 1};
+            if (broken) {
+                row.damage(settings);
+            }
+            world one{settings};
+            one.run(row.steps(host, server), schedule_start + whole_fault + recovery_time);
+            if (!one.violation.empty()) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+namespace ownership_fakes {
+
+void showValue(const fault_step& step, std::ostream& out)
+{
+    out << "{kind " << static_cast<int>(step.kind) << ", who " << step.who << ", at "
+        << step.at.count() << ", lasts " << step.lasts.count() << "}";
+}
+
+} // namespace ownership_fakes
+
+TEST_GROUP(ownership_test){};
+
+TEST(ownership_test, keeps_its_promises_with_servers_that_check_fences)
+{
+    CHECK_PROPERTY("fenced", [] { keeps_promises(true); });
+}
+
+TEST(ownership_test, keeps_its_promises_with_servers_that_do_not_check_fences)
+{
+    CHECK_PROPERTY("unfenced", [] { keeps_promises(false); });
+}
+
+TEST(ownership_test, meets_the_table_of_faults_with_servers_that_check_fences)
+{
+    check_rows(true);
+}
+
+TEST(ownership_test, meets_the_table_of_faults_with_servers_that_do_not_check_fences)
+{
+    check_rows(false);
+}
+
+TEST(ownership_test, checks_catch_each_broken_rule)
+{
+    for (const auto& row : broken_rows) {
+        CHECK_FALSE_TEXT(caught(row, false), row.name);
+        CHECK_TRUE_TEXT(caught(row, true), row.name);
+    }
+}
