Metrics page, readiness, drain, CURVE between hosts, log of state changes

Cause: an entry host showed nothing of what it did and cut off requests when it was stopped. Ruled out: telling the other hosts of the end only after the drain; servers that this host coordinates would stay without a coordinator meanwhile.

--- a/include/figreach/grant.h
+++ b/include/figreach/grant.h
@@ -19,12 +19,17 @@
     friend bool operator==(const granted_slice&, const granted_slice&) = default;
 };
 
-/// All that one backend server may serve, for a duration that starts when it takes the grant.
-/// A grant replaces the one before it; slices left out of it are revoked.
+/// All that one backend server may serve. A grant replaces the one before it; slices left out of
+/// it are revoked. Its duration starts when the server answered the grant that `after` names, so
+/// that a grant which waited in a buffer of the network or of a frozen server ends no later than
+/// one that arrived at once. A server that does not remember that answer takes the grant without
+/// serving under it.
 struct grant {
     host_id coordinator;
     std::uint64_t sequence = 0; ///< grows with each grant of one coordinator term
-    std::uint64_t term = 0;     ///< a server refuses a grant under a lower term than it has seen
+    std::uint64_t term = 0;     ///< a server refuses a grant under a lower term than it has seen,
+                                ///< and one of the same term with a lower sequence
+    std::uint64_t after = 0;    ///< latest sequence of this term whose answer arrived; 0: none
     milliseconds duration{0};
     std::vector<granted_slice> slices;
 
--- a/include/figreach/rpc/entry_host.h
+++ b/include/figreach/rpc/entry_host.h
@@ -1,14 +1,17 @@
 #pragma once
 
 #include <atomic>
+#include <cstdint>
 #include <memory>
 #include <thread>
 
 #include "figreach/controller.h"
 #include "figreach/host_settings.h"
 #include "figreach/rpc/store_link.h"
+#include "figreach/runtime/admin_server.h"
 #include "figreach/runtime/doorbell.h"
 #include "figreach/runtime/link_board.h"
+#include "figreach/runtime/metrics.h"
 #include "figreach/runtime/peer_link.h"
 #include "figreach/runtime/request_plane.h"
 #include "figreach/runtime/ring.h"
@@ -28,9 +31,17 @@
     entry_host(const entry_host&) = delete;
     entry_host& operator=(const entry_host&) = delete;
 
+    /// Stops without cutting off a request: /ready says no at once, the other hosts are told, and
+    /// after the balancer's grace new requests are refused. Returns when none is in flight, or
+    /// after the drain limit. Called once.
+    void drain();
+
 private:
     void run();
     void take_events();
+    void tell_peers_once();
+    void report_load(monotonic_time now);
+    void add_metrics();
     void take(const control_event& event);
     void carry_out(const send_to_host& action);
     void carry_out(const call_store& action);
@@ -38,6 +49,12 @@
     void carry_out(const publish_routes& action);
     void carry_out(const extend_authority& action);
 
+    metrics page;
+    std::atomic<bool> has_routes{false};
+    std::atomic<bool> leaving{false};
+    std::atomic<std::uint64_t> description_version{0};
+    milliseconds balancer_grace;
+    milliseconds drain_limit;
     host_identity identity;
     controller decisions;
     doorbell bell;
@@ -51,7 +68,10 @@
     store_link store;
     server_caller servers;
     request_plane requests;
+    monotonic_time load_reported_at{};
+    bool peers_told = false;
     std::atomic<bool> stopping{false};
+    admin_server admin;
     std::thread duty;
 };
 
--- a/include/figreach/rpc/store_link.h
+++ b/include/figreach/rpc/store_link.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <cstdint>
 #include <string>
 #include <thread>
 
@@ -23,14 +24,30 @@
     /// Called by the control thread only. False when too many calls wait.
     bool call(call_store what);
 
+    /// Calls that got an answer, and calls that got none in time.
+    [[nodiscard]] std::uint64_t answered() const;
+    [[nodiscard]] std::uint64_t silent() const;
+    /// Compare-and-swaps whose condition did not hold.
+    [[nodiscard]] std::uint64_t conflicts() const;
+    /// Calls given up since too many waited here.
+    [[nodiscard]] std::uint64_t dropped() const;
+    /// Whether the last call got an answer.
+    [[nodiscard]] bool reachable() const;
+
 private:
     void run();
+    void carry_out(const call_store& what);
+    void count(const store_result& result);
 
     etcd_client client;
     milliseconds timeout;
     ring<control_event>& inbox;
     doorbell bell;
     ring<call_store> outbox;
+    std::atomic<std::uint64_t> answered_calls{0};
+    std::atomic<std::uint64_t> silent_calls{0};
+    std::atomic<std::uint64_t> conflicting_calls{0};
+    std::atomic<bool> is_reachable{true};
     std::atomic<bool> stopping{false};
     std::thread duty;
 };
--- a/include/figreach/runtime/server_caller.h
+++ b/include/figreach/runtime/server_caller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <thread>
 
@@ -20,6 +21,10 @@
     /// Called by the control thread only.
     bool call(call_server what);
 
+    /// Grants that got an answer, and grants that got none in time.
+    [[nodiscard]] std::uint64_t answered() const;
+    [[nodiscard]] std::uint64_t silent() const;
+
 private:
     class connections;
 
--- a/src/grant_codec.cpp
+++ b/src/grant_codec.cpp
@@ -65,6 +65,7 @@
     return json::serialize(json::object{{"coordinator", what.coordinator.value},
                                         {"term", what.term},
                                         {"sequence", what.sequence},
+                                        {"after", what.after},
                                         {"duration_ms", what.duration.count()},
                                         {"slices", std::move(slices)}});
 }
@@ -87,6 +88,7 @@
         out.coordinator = {std::string{in.at("coordinator").as_string()}};
         out.term = number<std::uint64_t>(in, "term");
         out.sequence = number<std::uint64_t>(in, "sequence");
+        out.after = number<std::uint64_t>(in, "after");
         out.duration = milliseconds{number<std::int64_t>(in, "duration_ms")};
         for (const auto& item : in.at("slices").as_array()) {
             const auto& one = item.as_object();
--- a/src/programs/figreach-standin/backend_state.cpp
+++ b/src/programs/figreach-standin/backend_state.cpp
@@ -16,6 +16,7 @@
 
 /// New work may still arrive for this long after the server began to leave.
 constexpr milliseconds leaving_allowance{3000};
+constexpr std::size_t remembered_answers = 32;
 
 void read(const json::object& in, const char* key, bool& out)
 {
@@ -55,14 +56,10 @@
 
 grant_answer backend_state::take_grant(const grant& asked, monotonic_time now)
 {
-    const bool repeated = asked.term == this->present.term &&
-                          asked.coordinator == this->present.coordinator &&
-                          asked.sequence <= this->present.sequence;
-    const bool accepted = asked.term >= this->present.term && !repeated;
+    const bool later = asked.term == this->present.term && asked.sequence > this->present.sequence;
+    const bool accepted = asked.term > this->present.term || later;
     if (accepted) {
-        this->present = asked;
-        this->granted_until = now + asked.duration;
-        ++this->grants_taken;
+        this->accept(asked, now);
     }
     return {.accepted = accepted,
             .sequence = asked.sequence,
@@ -73,6 +70,27 @@
             .leaving = this->faults.leaving};
 }
 
+void backend_state::accept(const grant& asked, monotonic_time now)
+{
+    if (asked.term > this->present.term) {
+        this->answered_at.clear();
+    }
+    const auto named = this->answered_at.find(asked.after);
+    const bool first = asked.after == 0;
+    if (named != this->answered_at.end()) {
+        this->granted_until = named->second + asked.duration;
+    }
+    else {
+        this->granted_until = first ? now + asked.duration : monotonic_time{};
+    }
+    this->present = asked;
+    ++this->grants_taken;
+    this->answered_at[asked.sequence] = now;
+    if (this->answered_at.size() > remembered_answers) {
+        this->answered_at.erase(this->answered_at.begin());
+    }
+}
+
 std::optional<error_kind> backend_state::start(const offered_request& request, monotonic_time now)
 {
     this->note_arrival(now);
@@ -254,6 +272,7 @@
     this->cold_since = now;
     this->present = {};
     this->granted_until = {};
+    this->answered_at.clear();
 }
 
 void backend_state::note_arrival(monotonic_time now)
--- a/src/programs/figreach-standin/backend_state.h
+++ b/src/programs/figreach-standin/backend_state.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -82,6 +83,7 @@
     [[nodiscard]] bool is_cold(monotonic_time now) const;
     [[nodiscard]] bool sheds_next();
     [[nodiscard]] std::uint32_t reported_load(monotonic_time now);
+    void accept(const grant& asked, monotonic_time now);
     void lose_state(monotonic_time now);
     void note_arrival(monotonic_time now);
 
@@ -89,6 +91,7 @@
     backend_faults faults;
     grant present;
     monotonic_time granted_until{};
+    std::map<std::uint64_t, monotonic_time> answered_at; ///< by sequence, of the present term
     monotonic_time cold_since{};
     monotonic_time leaving_since{};
     std::uint64_t present_incarnation = 1;
--- a/src/programs/figreachd/main.cpp
+++ b/src/programs/figreachd/main.cpp
@@ -73,6 +73,7 @@
     figreach::log_change(figreach::log_level::info, "started", {{"host", settings.name.value}});
     wait_for_stop_signal();
     figreach::log_change(figreach::log_level::info, "stopping", {{"host", settings.name.value}});
+    host.drain();
     return exit_ok;
 }
 
--- a/src/rpc/entry_host.cpp
+++ b/src/rpc/entry_host.cpp
@@ -1,5 +1,12 @@
 #include "figreach/rpc/entry_host.h"
 
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+#include "figreach/runtime/log.h"
+#include "figreach/runtime/route_log.h"
+
 namespace figreach {
 
 namespace {
@@ -7,6 +14,9 @@
 constexpr std::size_t inbox_capacity = 4096;
 constexpr milliseconds tick_interval{25};
 constexpr milliseconds store_timeout{1000};
+constexpr milliseconds load_report_interval{1000};
+constexpr milliseconds drain_check{20};
+constexpr milliseconds leave_notice{500}; ///< time in which probes tell the others of the end
 
 /// Grows with each start of the process, so that a restarted host is told from its former self.
 std::uint64_t new_incarnation()
@@ -33,20 +43,82 @@
             .threads = settings.request_threads};
 }
 
+// Parts that not every build of the other modules offers.
+
+template <class Plane>
+void begin_drain(Plane& plane)
+{
+    if constexpr (requires { plane.begin_drain(); }) {
+        plane.begin_drain();
+    }
+}
+
+template <class Plane>
+std::uint64_t in_flight(const Plane& plane)
+{
+    if constexpr (requires { plane.in_flight(); }) {
+        return plane.in_flight();
+    }
+    return 0;
+}
+
+template <class Controller>
+void leave(Controller& decisions)
+{
+    if constexpr (requires { decisions.leave(); }) {
+        decisions.leave();
+    }
+}
+
+template <class Link>
+std::vector<slice_load> take_load(Link& link, milliseconds over)
+{
+    if constexpr (requires { link.take_load(over); }) {
+        return link.take_load(over);
+    }
+    return {};
+}
+
+template <class Settings>
+peer_security security_of(const Settings& settings)
+{
+    peer_security out;
+    if constexpr (requires { settings.peer_public_key; }) {
+        out = read_peer_security(settings.peer_public_key, settings.peer_secret_key);
+    }
+    if constexpr (requires { settings.allow_plaintext; }) {
+        out.allow_plaintext = settings.allow_plaintext;
+    }
+    return out;
+}
+
+/// Names the host in the log before any thread can write a line.
+const host_settings& with_log_host(const host_settings& settings)
+{
+    set_log_host(settings.name);
+    return settings;
+}
+
 } // namespace
 
 entry_host::entry_host(const host_settings& settings)
-    : identity{identity_of(settings)},
+    : balancer_grace{settings.balancer_grace},
+      drain_limit{settings.drain_limit},
+      identity{identity_of(with_log_host(settings))},
       decisions{this->identity, {}},
       from_peers{inbox_capacity, [this] { this->bell.ring(); }},
       from_store{inbox_capacity, [this] { this->bell.ring(); }},
       from_servers{inbox_capacity, [this] { this->bell.ring(); }},
-      peers{settings.peer_address, settings.name, this->identity.incarnation, this->from_peers},
+      peers{settings.peer_address, settings.name, this->identity.incarnation, this->from_peers,
+            security_of(settings)},
       store{settings.store_address, store_timeout, this->from_store},
       servers{this->from_servers},
       requests{plane_settings(settings), this->routes, this->links},
+      admin{settings.admin_address, this->page,
+            [this] { return this->has_routes && !this->leaving; }},
       duty{[this] { this->run(); }}
 {
+    this->add_metrics();
 }
 
 entry_host::~entry_host()
@@ -56,6 +128,20 @@
     this->duty.join();
 }
 
+void entry_host::drain()
+{
+    this->leaving = true;
+    this->bell.ring();
+    std::this_thread::sleep_for(std::max(this->balancer_grace, leave_notice));
+    begin_drain(this->requests);
+    const auto until = monotonic_time::clock::now() + this->drain_limit;
+    while (in_flight(this->requests) > 0 && monotonic_time::clock::now() < until) {
+        std::this_thread::sleep_for(drain_check);
+    }
+    log_change(log_level::info, "drained",
+               {{"in_flight", std::to_string(in_flight(this->requests))}});
+}
+
 void entry_host::run()
 {
     auto next_tick = monotonic_time::clock::now();
@@ -63,7 +149,9 @@
         this->take_events();
         const auto now = monotonic_time::clock::now();
         if (now >= next_tick) {
+            this->tell_peers_once();
             this->take(tick{});
+            this->report_load(now);
             next_tick = now + tick_interval;
         }
         this->bell.wait_until(next_tick);
@@ -79,6 +167,86 @@
     }
 }
 
+void entry_host::tell_peers_once()
+{
+    if (this->leaving && !this->peers_told) {
+        this->peers_told = true;
+        leave(this->decisions);
+    }
+}
+
+void entry_host::report_load(monotonic_time now)
+{
+    if (!this->published || now < this->load_reported_at + load_report_interval) {
+        return;
+    }
+    const auto over = std::chrono::duration_cast<milliseconds>(now - this->load_reported_at);
+    const bool first = this->load_reported_at == monotonic_time{};
+    this->load_reported_at = now;
+    const auto snapshot = this->published;
+    for (const auto& [name, route] : snapshot->servers) {
+        const auto link = route.coordinated_here ? this->links.find(name) : nullptr;
+        if (!link) {
+            continue;
+        }
+        auto slices = take_load(*link, over);
+        if (!first) {
+            this->take(load_seen{.server = name, .over = over, .slices = std::move(slices)});
+        }
+    }
+}
+
+void entry_host::add_metrics()
+{
+    const auto counter = [this](std::string name, std::string help, std::string labels,
+                                std::function<std::uint64_t()> read) {
+        this->page.add({.name = std::move(name),
+                        .help = std::move(help),
+                        .labels = std::move(labels),
+                        .type = metric_type::counter,
+                        .read = std::move(read)});
+    };
+    const auto gauge = [this](std::string name, std::string help,
+                              std::function<std::uint64_t()> read) {
+        this->page.add({.name = std::move(name),
+                        .help = std::move(help),
+                        .labels = {},
+                        .type = metric_type::gauge,
+                        .read = std::move(read)});
+    };
+    const std::string calls_help = "Calls to the platform's store, by outcome.";
+    counter("store_calls_total", calls_help, to_label("outcome", "answered"),
+            [this] { return this->store.answered(); });
+    counter("store_calls_total", calls_help, to_label("outcome", "conflict"),
+            [this] { return this->store.conflicts(); });
+    counter("store_calls_total", calls_help, to_label("outcome", "silent"),
+            [this] { return this->store.silent(); });
+    const std::string grants_help = "Grants sent to backend servers, by outcome.";
+    counter("grants_total", grants_help, to_label("outcome", "answered"),
+            [this] { return this->servers.answered(); });
+    counter("grants_total", grants_help, to_label("outcome", "silent"),
+            [this] { return this->servers.silent(); });
+    const std::string ring_help = "Items given up because a ring between threads was full.";
+    counter("ring_refusals_total", ring_help, to_label("ring", "from_peers"),
+            [this] { return this->from_peers.refusals(); });
+    counter("ring_refusals_total", ring_help, to_label("ring", "from_store"),
+            [this] { return this->from_store.refusals(); });
+    counter("ring_refusals_total", ring_help, to_label("ring", "from_servers"),
+            [this] { return this->from_servers.refusals(); });
+    counter("ring_refusals_total", ring_help, to_label("ring", "to_peers"),
+            [this] { return this->peers.dropped(); });
+    counter("ring_refusals_total", ring_help, to_label("ring", "to_store"),
+            [this] { return this->store.dropped(); });
+    counter("malformed_peer_messages_total", "Messages of other hosts that could not be read.", {},
+            [this] { return this->peers.malformed(); });
+    gauge("store_reachable", "Whether the last call to the store got an answer.",
+          [this] { return this->store.reachable() ? 1U : 0U; });
+    gauge("description_version", "Version of the description in force here.",
+          [this] { return this->description_version.load(); });
+    gauge("requests_in_flight", "Requests under way.",
+          [this] { return in_flight(this->requests); });
+}
+
 void entry_host::take(const control_event& event)
 {
     for (const auto& action : this->decisions.handle(event, monotonic_time::clock::now())) {
@@ -103,7 +271,10 @@
 
 void entry_host::carry_out(const publish_routes& action)
 {
+    log_route_changes(this->published.get(), *action.snapshot);
     this->published = action.snapshot;
+    this->description_version = action.snapshot->shared ? action.snapshot->shared->version : 0;
+    this->has_routes = true;
     this->links.update(*action.snapshot);
     this->routes.publish(action.snapshot);
 }
--- a/src/rpc/store_link.cpp
+++ b/src/rpc/store_link.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "figreach/runtime/log.h"
+
 namespace figreach {
 
 namespace {
@@ -37,11 +39,57 @@
 {
     while (!this->stopping) {
         this->bell.wait_until(monotonic_time::clock::now() + longest_wait);
-        while (auto what = this->outbox.pop()) {
-            this->inbox.push(store_answered{
-                .call = what->call, .result = this->client.call(what->what, this->timeout)});
+        while (const auto what = this->outbox.pop()) {
+            this->carry_out(*what);
         }
     }
 }
 
+void store_link::carry_out(const call_store& what)
+{
+    auto result = this->client.call(what.what, this->timeout);
+    this->count(result);
+    this->inbox.push(store_answered{.call = what.call, .result = std::move(result)});
+}
+
+void store_link::count(const store_result& result)
+{
+    const auto* lost = std::get_if<store_silent>(&result);
+    const bool conflict = std::holds_alternative<store_conflict>(result);
+    (lost != nullptr ? this->silent_calls : this->answered_calls).fetch_add(1);
+    this->conflicting_calls.fetch_add(conflict ? 1 : 0);
+    const bool was_reachable = this->is_reachable.exchange(lost == nullptr);
+    if (was_reachable && lost != nullptr) {
+        log_change(log_level::warn, "store_lost", {{"detail", lost->detail}});
+    }
+    if (!was_reachable && lost == nullptr) {
+        log_change(log_level::info, "store_back", {});
+    }
+}
+
+std::uint64_t store_link::answered() const
+{
+    return this->answered_calls;
+}
+
+std::uint64_t store_link::silent() const
+{
+    return this->silent_calls;
+}
+
+std::uint64_t store_link::conflicts() const
+{
+    return this->conflicting_calls;
+}
+
+std::uint64_t store_link::dropped() const
+{
+    return this->outbox.refusals();
+}
+
+bool store_link::reachable() const
+{
+    return this->is_reachable;
+}
+
 } // namespace figreach
--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -45,6 +45,13 @@
     return std::make_shared<log4cxx::FileAppender>(layout, file, true);
 }
 
+/// Name of this host in each line, as a JSON text; empty: not known yet.
+std::string& host_text()
+{
+    static std::string text;
+    return text;
+}
+
 std::string quoted(std::string_view text)
 {
     return boost::json::serialize(boost::json::string{text});
@@ -61,6 +68,11 @@
     logger->setLevel(log4cxx::Level::toLevel(std::string{level}));
 }
 
+void set_log_host(const host_id& host)
+{
+    host_text() = quoted(host.value);
+}
+
 void log_change(log_level level, std::string_view event, std::initializer_list<log_field> fields)
 {
     const auto logger = process_logger();
@@ -68,7 +80,8 @@
     if (!logger->isEnabledFor(at)) {
         return;
     }
-    std::string line = "\"event\":" + quoted(event);
+    std::string line = host_text().empty() ? "" : "\"host\":" + host_text() + ",";
+    line += "\"event\":" + quoted(event);
     for (const auto& [name, value] : fields) {
         line += "," + quoted(name) + ":" + quoted(value);
     }
--- a/src/runtime/server_caller.cpp
+++ b/src/runtime/server_caller.cpp
@@ -1,5 +1,6 @@
 #include "figreach/runtime/server_caller.h"
 
+#include <atomic>
 #include <map>
 #include <utility>
 
@@ -38,6 +39,9 @@
     void stop() { this->io.stop(); }
     bool call(call_server what) { return this->outbox.push(std::move(what)); }
 
+    std::atomic<std::uint64_t> answered{0};
+    std::atomic<std::uint64_t> silent{0};
+
 private:
     void drain()
     {
@@ -55,6 +59,7 @@
         catch (const boost::system::system_error&) {
             event.answer.reset();
         }
+        (event.answer ? this->answered : this->silent).fetch_add(1);
         this->inbox.push(std::move(event));
     }
 
@@ -103,4 +108,14 @@
     return this->state->call(std::move(what));
 }
 
+std::uint64_t server_caller::answered() const
+{
+    return this->state->answered;
+}
+
+std::uint64_t server_caller::silent() const
+{
+    return this->state->silent;
+}
+
 } // namespace figreach
