--- a/include/figreach/error_kind.h
+++ b/include/figreach/error_kind.h
@@ -41,6 +41,7 @@
     repeat_in_progress,
     repeat_outcome_unknown,
     repeat_mismatch,
+    repeat_answer_not_kept,
     missing_idempotency_key,
     caller_gone,
     host_stopping,
--- a/src/error_kind.cpp
+++ b/src/error_kind.cpp
@@ -57,6 +57,9 @@
      "Whether an earlier request with this idempotency key ran cannot be known; look."},
     {repeat_mismatch, "repeat_mismatch", 422, not_run, false,
      "The idempotency key was used for another request; use a new one."},
+    {repeat_answer_not_kept, "repeat_answer_not_kept", 409, ran, false,
+     "The first request with this idempotency key ran, its answer is no longer kept; read the "
+     "result."},
     {missing_idempotency_key, "missing_idempotency_key", 400, not_run, false,
      "Send an Idempotency-Key with this request."},
     {caller_gone, "caller_gone", 0, unknown, false, "The caller left before the answer."},
--- /dev/null
+++ b/src/idempotency_window.cpp
@@ -0,0 +1,196 @@
+#include "figreach/idempotency_window.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace figreach {
+
+namespace {
+
+/// Slices whose coverage is remembered; beyond, coverage begins anew.
+constexpr std::size_t most_slices = 4096;
+
+std::size_t size_of(const repeat_id& id, const std::string& fingerprint)
+{
+    // The identity stands in the table and in the order of ends.
+    const auto names = id.service.value.size() + id.key.size() + id.idempotency_key.size();
+    return 2 * (names + sizeof(repeat_id)) + fingerprint.size();
+}
+
+} // namespace
+
+idempotency_window::idempotency_window(idempotency_window_settings settings_) : settings{settings_}
+{
+}
+
+void idempotency_window::take_over(monotonic_time now)
+{
+    for (auto& [first, covered] : this->slices) {
+        covered.since = now;
+    }
+}
+
+void idempotency_window::note_slice(const repeat_slice& slice, monotonic_time now)
+{
+    static_cast<void>(this->covered_since(slice, now));
+}
+
+window_decision idempotency_window::begin(const repeat_question& question, monotonic_time now)
+{
+    this->expire(now);
+    const bool missed = this->may_have_missed(question, now);
+    const auto found = this->entries.find(question.id);
+    if (found != this->entries.end()) {
+        return this->repeat_of(found->second, question);
+    }
+    if (missed && !question.first_attempt) {
+        return window_refuse{.kind = error_kind::repeat_outcome_unknown};
+    }
+    this->evict();
+    if (this->entries.size() >= this->settings.most_entries) {
+        return window_refuse{.kind = error_kind::overloaded,
+                             .retry_after = this->settings.retry_after};
+    }
+    entry fresh{.fingerprint = question.fingerprint};
+    fresh.bytes = size_of(question.id, question.fingerprint);
+    this->used_bytes += fresh.bytes;
+    this->entries.emplace(question.id, std::move(fresh));
+    return window_run{};
+}
+
+void idempotency_window::forget(const repeat_id& id)
+{
+    const auto found = this->entries.find(id);
+    if (found != this->entries.end() && found->second.state == entry_state::in_progress) {
+        this->used_bytes -= found->second.bytes;
+        this->entries.erase(found);
+    }
+}
+
+void idempotency_window::finish(const repeat_id& id, std::optional<kept_answer> answer,
+                                monotonic_time now)
+{
+    if (answer && answer->body.size() > this->settings.most_answer_bytes) {
+        answer.reset();
+    }
+    this->end(id, entry_state::ran, std::move(answer), now);
+}
+
+void idempotency_window::lose(const repeat_id& id, monotonic_time now)
+{
+    this->end(id, entry_state::unknown, std::nullopt, now);
+}
+
+std::size_t idempotency_window::size() const
+{
+    return this->entries.size();
+}
+
+std::size_t idempotency_window::bytes() const
+{
+    return this->used_bytes;
+}
+
+window_decision idempotency_window::repeat_of(const entry& known,
+                                              const repeat_question& question) const
+{
+    if (known.fingerprint != question.fingerprint) {
+        return window_refuse{.kind = error_kind::repeat_mismatch};
+    }
+    switch (known.state) {
+    case entry_state::in_progress:
+        return window_refuse{.kind = error_kind::repeat_in_progress,
+                             .retry_after = this->settings.retry_after};
+    case entry_state::unknown:
+        return window_refuse{.kind = error_kind::repeat_outcome_unknown};
+    case entry_state::ran:
+        break;
+    }
+    if (!known.answer) {
+        return window_refuse{.kind = error_kind::repeat_answer_not_kept};
+    }
+    return window_replay{*known.answer};
+}
+
+bool idempotency_window::may_have_missed(const repeat_question& question, monotonic_time now)
+{
+    const auto since = this->covered_since(question.slice, now);
+    return now - since < this->settings.length || now < this->forgotten_until;
+}
+
+monotonic_time idempotency_window::covered_since(const repeat_slice& slice, monotonic_time now)
+{
+    const auto exact = this->slices.find(slice.first);
+    if (exact != this->slices.end() && exact->second.fence == slice.fence &&
+        exact->second.last == slice.last) {
+        return exact->second.since;
+    }
+    // The same fence over a range means the same owner throughout, also after a split.
+    auto since = now;
+    const auto after = this->slices.upper_bound(slice.first);
+    if (after != this->slices.begin()) {
+        const auto whole = std::prev(after)->second;
+        if (whole.fence == slice.fence && whole.last >= slice.last) {
+            since = whole.since;
+            if (whole.last > slice.last) {
+                this->slices.try_emplace(slice.last + 1, whole);
+            }
+        }
+    }
+    if (this->slices.size() >= most_slices) {
+        this->slices.clear();
+    }
+    this->slices[slice.first] = {.last = slice.last, .fence = slice.fence, .since = since};
+    return since;
+}
+
+void idempotency_window::end(const repeat_id& id, entry_state state,
+                             std::optional<kept_answer> answer, monotonic_time now)
+{
+    const auto found = this->entries.find(id);
+    if (found == this->entries.end() || found->second.state != entry_state::in_progress) {
+        return;
+    }
+    auto& known = found->second;
+    known.state = state;
+    known.ended = now;
+    if (answer) {
+        const auto added = answer->body.size() + answer->content_type.size();
+        known.bytes += added;
+        this->used_bytes += added;
+        known.answer = std::move(answer);
+    }
+    this->ended.push_back({.id = id, .at = now});
+    this->evict();
+}
+
+void idempotency_window::expire(monotonic_time now)
+{
+    while (!this->ended.empty() && now - this->ended.front().at >= this->settings.length) {
+        this->erase_oldest();
+    }
+}
+
+void idempotency_window::evict()
+{
+    const auto crowded = [this] {
+        return this->used_bytes > this->settings.most_bytes ||
+               this->entries.size() >= this->settings.most_entries;
+    };
+    while (!this->ended.empty() && crowded()) {
+        this->forgotten_until =
+            std::max(this->forgotten_until, this->ended.front().at + this->settings.length);
+        this->erase_oldest();
+    }
+}
+
+void idempotency_window::erase_oldest()
+{
+    const auto found = this->entries.find(this->ended.front().id);
+    this->used_bytes -= found->second.bytes;
+    this->entries.erase(found);
+    this->ended.pop_front();
+}
+
+} // namespace figreach
--- /dev/null
+++ b/src/request_attempts.cpp
@@ -0,0 +1,189 @@
+#include "figreach/request_attempts.h"
+
+#include <algorithm>
+
+namespace figreach {
+
+request_attempts::request_attempts(attempt_settings settings_, attempt_facts facts_,
+                                   retry_budget& budget_, std::uint64_t seed)
+    : settings{settings_}, facts{facts_}, budget{budget_}, random_state{seed}
+{
+    if (!this->facts.forwarded) {
+        this->budget.earn();
+    }
+}
+
+attempt_action request_attempts::handle(const attempt_event& event, monotonic_time now)
+{
+    if (this->over) {
+        return carry_on{};
+    }
+    return std::visit([this, now](const auto& one) { return this->on(one, now); }, event);
+}
+
+bool request_attempts::ended() const
+{
+    return this->over;
+}
+
+bool request_attempts::may_run() const
+{
+    return this->byte_left;
+}
+
+std::uint32_t request_attempts::sends() const
+{
+    return this->sent;
+}
+
+attempt_action request_attempts::on(const route_found& event, monotonic_time now)
+{
+    if (now >= this->facts.deadline) {
+        return this->fail(error_kind::deadline_expired, milliseconds{0});
+    }
+    if (event.where == route_finding::here) {
+        return send_here{};
+    }
+    if (this->facts.forwarded) {
+        const bool nobody = event.where == route_finding::none;
+        return this->fail(nobody ? error_kind::no_owner : error_kind::not_coordinator,
+                          this->settings.retry_after);
+    }
+    if (event.where == route_finding::elsewhere) {
+        return forward_request{};
+    }
+    const auto left = this->settings.route_patience - this->waited;
+    if (left <= milliseconds{0} || now + this->settings.route_poll >= this->facts.deadline) {
+        return this->fail(error_kind::no_owner, this->settings.retry_after);
+    }
+    const auto delay = std::min(left, this->settings.route_poll);
+    this->waited += delay;
+    return look_up_route{delay};
+}
+
+attempt_action request_attempts::on(const given_up_here& event, monotonic_time now)
+{
+    return this->retry_or_fail(event.kind, event.retry_after, now);
+}
+
+attempt_action request_attempts::on(const not_sent& event, monotonic_time now)
+{
+    if (now >= this->facts.deadline) {
+        return this->fail(error_kind::deadline_expired, milliseconds{0});
+    }
+    return this->retry_or_fail(event.kind, this->settings.retry_after, now);
+}
+
+attempt_action request_attempts::on(const sending&, monotonic_time now)
+{
+    if (now >= this->facts.deadline) {
+        return this->fail(error_kind::deadline_expired, milliseconds{0});
+    }
+    this->byte_left = true;
+    ++this->sent;
+    return carry_on{};
+}
+
+attempt_action request_attempts::on(const refused_not_run& event, monotonic_time now)
+{
+    this->byte_left = false;
+    if (!event.replayable) {
+        return this->fail(event.kind, event.retry_after);
+    }
+    return this->retry_or_fail(event.kind, event.retry_after, now);
+}
+
+attempt_action request_attempts::on(const lost_after_send& event, monotonic_time now)
+{
+    this->maybe_ran = true;
+    if (now >= this->facts.deadline) {
+        return this->fail(error_kind::deadline_exceeded, milliseconds{0});
+    }
+    if (!this->facts.idempotent || !event.replayable) {
+        return this->fail(error_kind::outcome_unknown, milliseconds{0});
+    }
+    return this->retry_or_fail(error_kind::outcome_unknown, milliseconds{0}, now);
+}
+
+attempt_action request_attempts::on(const answer_begun&, monotonic_time)
+{
+    this->answering = true;
+    return carry_on{};
+}
+
+attempt_action request_attempts::on(const answer_ended&, monotonic_time)
+{
+    this->over = true;
+    return conclude{.clean = true};
+}
+
+attempt_action request_attempts::on(const answer_cut&, monotonic_time)
+{
+    this->over = true;
+    return conclude{.clean = false};
+}
+
+attempt_action request_attempts::on(const deadline_passed&, monotonic_time)
+{
+    if (this->answering) {
+        this->over = true;
+        return conclude{.clean = false};
+    }
+    const bool unknown = this->byte_left;
+    return this->fail(unknown ? error_kind::deadline_exceeded : error_kind::deadline_expired,
+                      milliseconds{0});
+}
+
+attempt_action request_attempts::on(const caller_left&, monotonic_time)
+{
+    this->over = true;
+    return conclude{.clean = false};
+}
+
+attempt_action request_attempts::fail(error_kind kind, milliseconds retry_after)
+{
+    this->over = true;
+    if (this->maybe_ran && answer_of(kind).ran == run_state::not_run) {
+        return give_error{.kind = error_kind::outcome_unknown};
+    }
+    return give_error{.kind = kind, .retry_after = retry_after};
+}
+
+attempt_action request_attempts::retry_or_fail(error_kind kind, milliseconds retry_after,
+                                               monotonic_time now)
+{
+    if (this->facts.forwarded || !this->worth_retrying(kind) ||
+        this->sent >= this->settings.most_sends || this->retries >= this->settings.most_sends) {
+        return this->fail(kind, retry_after);
+    }
+    const auto random = next_random(this->random_state);
+    const auto delay = jittered_backoff(this->settings.backoff, this->retries + 1, random);
+    if (now + delay >= this->facts.deadline || !this->budget.spend()) {
+        return this->fail(kind, retry_after);
+    }
+    ++this->retries;
+    return look_up_route{delay};
+}
+
+/// Whether another attempt may go to another place or meet another state.
+bool request_attempts::worth_retrying(error_kind kind) const
+{
+    switch (kind) {
+    case error_kind::stale_route:
+    case error_kind::not_coordinator:
+    case error_kind::no_owner:
+    case error_kind::host_stopping:
+    case error_kind::server_unreachable:
+    case error_kind::outcome_unknown:
+        return true;
+    case error_kind::server_refused:
+    case error_kind::server_cold:
+    case error_kind::overloaded:
+    case error_kind::queue_full:
+        return !this->facts.divided_by_key;
+    default:
+        return false;
+    }
+}
+
+} // namespace figreach
--- a/src/server_gate.cpp
+++ b/src/server_gate.cpp
@@ -2,39 +2,65 @@
 
 #include <algorithm>
 
+#include "figreach/retry_budget.h"
+
 namespace figreach {
 
-server_gate::server_gate(gate_settings settings_) : settings{settings_} {}
+namespace {
+
+/// Expected latency before the first answer.
+constexpr milliseconds assumed_latency{10};
+
+} // namespace
+
+server_gate::server_gate(gate_settings settings_)
+    : settings{settings_}, limiter{{.most = settings_.slots}}, random_state{settings_.seed}
+{
+}
 
 gate_decisions server_gate::arrive(const gate_request& request, monotonic_time now)
 {
     gate_decisions out;
+    this->expire_waiting(out, now);
+    this->start_waiting(out, now);
     if (request.deadline <= now) {
         out.emplace_back(this->refusal(request.id, error_kind::deadline_expired));
-        return out;
     }
-    if (!this->has_authority(now) || !this->present.takes_new_work) {
+    else if (!this->has_authority(now) || !this->present.takes_new_work) {
         out.emplace_back(this->refusal(request.id, error_kind::no_owner));
-        return out;
     }
-    if (this->queue.empty() && this->free_slots() > 0) {
-        ++this->started;
-        out.emplace_back(gate_start{request.id});
-        return out;
+    else if (this->queue.size() == 0 && this->may_start(now)) {
+        this->start(request, out);
     }
-    if (this->queue.size() >= this->settings.longest_queue) {
-        out.emplace_back(this->refusal(request.id, error_kind::queue_full));
-        return out;
+    else {
+        this->enqueue(request, out, now);
     }
-    this->queue.push_back(request);
-    out.emplace_back(gate_wait{request.id});
     return out;
 }
 
-gate_decisions server_gate::finish(ticket, gate_ending, nanoseconds, monotonic_time now)
+gate_decisions server_gate::finish(ticket id, gate_ending ending, nanoseconds latency,
+                                   monotonic_time now)
 {
     gate_decisions out;
-    --this->started;
+    const auto found = this->started.find(id);
+    if (found == this->started.end()) {
+        return out;
+    }
+    auto& of_tenant = this->started_by_tenant[found->second];
+    if (--of_tenant == 0) {
+        this->started_by_tenant.erase(found->second);
+    }
+    this->started.erase(found);
+    if (ending == gate_ending::answered) {
+        this->limiter.on_answer(latency, now);
+        this->refusals_in_a_row = 0;
+    }
+    if (ending == gate_ending::refused) {
+        this->pause(now);
+    }
+    if (ending == gate_ending::refused || ending == gate_ending::failed) {
+        this->limiter.on_failure(now);
+    }
     this->expire_waiting(out, now);
     this->start_waiting(out, now);
     return out;
@@ -42,28 +68,53 @@
 
 void server_gate::leave(ticket id)
 {
-    std::erase_if(this->queue, [id](const gate_request& one) { return one.id == id; });
+    this->queue.remove(id);
 }
 
 gate_decisions server_gate::set_authority(const gate_authority& authority, monotonic_time now)
 {
     gate_decisions out;
+    if (authority.incarnation != this->present.incarnation) {
+        this->note_incarnation(authority.incarnation, now);
+    }
+    this->limiter.set_cold_claim(authority.cold, now);
     this->present = authority;
     this->expire_waiting(out, now);
     this->start_waiting(out, now);
     return out;
 }
 
+void server_gate::note_incarnation(std::uint64_t seen, monotonic_time now)
+{
+    if (seen != this->incarnation) {
+        this->incarnation = seen;
+        this->limiter.restart_cold(now);
+    }
+}
+
 gate_decisions server_gate::on_tick(monotonic_time now)
 {
     gate_decisions out;
     this->expire_waiting(out, now);
+    this->start_waiting(out, now);
+    return out;
+}
+
+std::optional<monotonic_time> server_gate::next_tick() const
+{
+    auto out = this->queue.next_deadline();
+    if (out && this->free_slots() > 0) {
+        out = std::min(*out, this->paused_until);
+    }
+    if (out) {
+        out = std::min(*out, this->present.until);
+    }
     return out;
 }
 
 std::uint32_t server_gate::running() const
 {
-    return this->started;
+    return static_cast<std::uint32_t>(this->started.size());
 }
 
 std::size_t server_gate::waiting() const
@@ -71,6 +122,21 @@
     return this->queue.size();
 }
 
+std::uint32_t server_gate::limit() const
+{
+    return this->limiter.limit();
+}
+
+bool server_gate::is_cold() const
+{
+    return this->limiter.is_cold();
+}
+
+nanoseconds server_gate::recent_latency() const
+{
+    return this->limiter.recent_latency();
+}
+
 const gate_authority& server_gate::authority() const
 {
     return this->present;
@@ -83,36 +149,127 @@
 
 std::uint32_t server_gate::free_slots() const
 {
-    const auto taken = this->started + this->present.in_flight_elsewhere;
-    return taken >= this->settings.slots ? 0 : this->settings.slots - taken;
+    const auto taken = this->running() + this->present.in_flight_elsewhere;
+    const auto most = this->limiter.limit();
+    return taken >= most ? 0 : most - taken;
+}
+
+bool server_gate::may_start(monotonic_time now) const
+{
+    return this->free_slots() > 0 && now >= this->paused_until && this->has_authority(now);
+}
+
+milliseconds server_gate::expected_wait(std::size_t ahead) const
+{
+    const auto seen = this->limiter.recent_latency();
+    const auto each = seen.count() == 0 ? nanoseconds{assumed_latency} : seen;
+    const auto rounds = static_cast<std::int64_t>(ahead + 1);
+    const auto wait = each * rounds / std::max<std::int64_t>(this->limiter.limit(), 1);
+    return std::chrono::ceil<milliseconds>(wait);
+}
+
+bool server_gate::too_late(const gate_request& request, monotonic_time now) const
+{
+    const auto begin = std::max(now + this->expected_wait(this->queue.size()), this->paused_until);
+    const auto end = begin + this->limiter.recent_latency();
+    return end > request.deadline;
+}
+
+bool server_gate::over_share(const tenant_id& tenant, std::uint32_t weight) const
+{
+    const auto found = this->started_by_tenant.find(tenant);
+    const auto running_here = found == this->started_by_tenant.end() ? 0U : found->second;
+    const auto held = this->queue.size_of(tenant) + running_here;
+    const auto all = this->queue.size() + this->started.size();
+    const auto others = this->queue.waiting_weight();
+    const auto all_weight =
+        this->queue.size_of(tenant) > 0 ? others : others + std::max(weight, 1U);
+    return held < all && held * all_weight > all * std::max(weight, 1U);
+}
+
+std::optional<gate_request> server_gate::displaced_by(const gate_request& request) const
+{
+    const auto worst = this->queue.first_to_shed();
+    if (!worst) {
+        return std::nullopt;
+    }
+    const bool worse_class = worst->shed_order > request.shed_order;
+    const bool greedier = worst->shed_order == request.shed_order &&
+                          worst->tenant != request.tenant &&
+                          this->over_share(worst->tenant, worst->weight) &&
+                          !this->over_share(request.tenant, request.weight);
+    return worse_class || greedier ? worst : std::nullopt;
+}
+
+void server_gate::start(const gate_request& request, gate_decisions& out)
+{
+    this->started.emplace(request.id, request.tenant);
+    ++this->started_by_tenant[request.tenant];
+    out.emplace_back(gate_start{request.id});
 }
 
 void server_gate::start_waiting(gate_decisions& out, monotonic_time now)
 {
-    while (!this->queue.empty() && this->free_slots() > 0 && this->has_authority(now)) {
-        out.emplace_back(gate_start{this->queue.front().id});
-        this->queue.pop_front();
-        ++this->started;
+    while (this->queue.size() > 0 && this->may_start(now)) {
+        this->start(this->queue.pop(), out);
     }
 }
 
 void server_gate::expire_waiting(gate_decisions& out, monotonic_time now)
 {
     const bool lost = !this->has_authority(now) || !this->present.takes_new_work;
-    const auto given_up = [this, &out, now, lost](const gate_request& one) {
+    const auto gone = this->queue.remove_if(
+        [now, lost](const gate_request& one) { return lost || one.deadline <= now; });
+    for (const auto& one : gone) {
         const bool late = one.deadline <= now;
-        if (late || lost) {
-            const auto kind = late ? error_kind::deadline_expired : error_kind::no_owner;
-            out.emplace_back(this->refusal(one.id, kind));
+        out.emplace_back(
+            this->refusal(one.id, late ? error_kind::deadline_expired : error_kind::no_owner));
+    }
+}
+
+void server_gate::enqueue(const gate_request& request, gate_decisions& out, monotonic_time now)
+{
+    const bool full = this->queue.size() >= this->settings.longest_queue;
+    if (full || this->too_late(request, now)) {
+        const auto plain = full ? error_kind::queue_full : error_kind::overloaded;
+        const auto victim = this->displaced_by(request);
+        if (!victim) {
+            const auto kind = this->crowded_kind(request, plain);
+            out.emplace_back(this->refusal(request.id, kind));
+            return;
         }
-        return late || lost;
-    };
-    std::erase_if(this->queue, given_up);
+        this->queue.remove(victim->id);
+        out.emplace_back(this->refusal(victim->id, this->crowded_kind(*victim, plain)));
+    }
+    this->queue.push(request);
+    out.emplace_back(gate_wait{request.id});
+}
+
+void server_gate::pause(monotonic_time now)
+{
+    ++this->refusals_in_a_row;
+    const backoff_settings bounds{.first = this->settings.first_pause,
+                                  .longest = this->settings.longest_pause};
+    const auto random = next_random(this->random_state);
+    this->paused_until = now + jittered_backoff(bounds, this->refusals_in_a_row, random);
+}
+
+error_kind server_gate::crowded_kind(const gate_request& request, error_kind plain) const
+{
+    if (this->over_share(request.tenant, request.weight)) {
+        return error_kind::tenant_over_limit;
+    }
+    return this->is_cold() ? error_kind::server_cold : plain;
 }
 
-gate_refuse server_gate::refusal(ticket id, error_kind kind) const
+gate_refuse server_gate::refusal(ticket id, error_kind kind)
 {
-    return {.id = id, .kind = kind, .retry_after = this->settings.retry_after};
+    const auto drain = this->expected_wait(this->queue.size());
+    const auto base =
+        std::clamp(drain, this->settings.retry_after, this->settings.longest_retry_after);
+    const auto spread = static_cast<std::uint64_t>(base.count() / 2 + 1);
+    const milliseconds jitter{next_random(this->random_state) % spread};
+    return {.id = id, .kind = kind, .retry_after = base + jitter};
 }
 
 } // namespace figreach
--- /dev/null
+++ b/test/request_attempts_test.cpp
@@ -0,0 +1,217 @@
+#include "figreach/request_attempts.h"
+
+#include <set>
+
+#include "property.h"
+#include "request_world.h"
+
+using namespace figreach;
+
+namespace {
+
+constexpr monotonic_time start{seconds{100}};
+
+std::string text_of(const attempt_action& action)
+{
+    struct visitor {
+        std::string operator()(const send_here&) const { return "send here"; }
+        std::string operator()(const forward_request&) const { return "forward"; }
+        std::string operator()(const look_up_route&) const { return "look up"; }
+        std::string operator()(const carry_on&) const { return "carry on"; }
+        std::string operator()(const conclude& one) const { return one.clean ? "whole" : "cut"; }
+        std::string operator()(const give_error& one) const
+        {
+            return std::string{name_of(one.kind)};
+        }
+    };
+    return std::visit(visitor{}, action);
+}
+
+struct attempt_row {
+    const char* name;
+    bool idempotent;
+    bool forwarded;
+    std::vector<attempt_event> events;
+    const char* last_action;
+};
+
+const route_found here{route_finding::here};
+const route_found elsewhere{route_finding::elsewhere};
+const route_found nowhere{route_finding::none};
+
+const attempt_row attempt_rows[] = {
+    {"owner here", false, false, {here}, "send here"},
+    {"owner elsewhere", false, false, {elsewhere}, "forward"},
+    {"second hop", false, true, {elsewhere}, "not_coordinator"},
+    {"no owner for a moment", false, false, {nowhere}, "look up"},
+    {"no owner after a hop", false, true, {nowhere}, "no_owner"},
+    {"owner comes", false, false, {nowhere, here}, "send here"},
+    {"gate full", false, false, {here, given_up_here{error_kind::queue_full}}, "queue_full"},
+    {"no connection", false, false, {here, not_sent{}}, "look up"},
+    {"no connection after a hop", false, true, {here, not_sent{}}, "server_unreachable"},
+    {"answered", false, false, {here, sending{}, answer_begun{}, answer_ended{}}, "whole"},
+    {"cut", false, false, {here, sending{}, answer_begun{}, answer_cut{}}, "cut"},
+    {"late before send", false, false, {here, deadline_passed{}}, "deadline_expired"},
+    {"late after send", false, false, {here, sending{}, deadline_passed{}}, "deadline_exceeded"},
+    {"late in the answer",
+     true,
+     false,
+     {here, sending{}, answer_begun{}, deadline_passed{}},
+     "cut"},
+    {"lost", false, false, {here, sending{}, lost_after_send{}}, "outcome_unknown"},
+    {"lost read", true, false, {here, sending{}, lost_after_send{}}, "look up"},
+    {"lost read whose body is used up",
+     true,
+     false,
+     {here, sending{}, lost_after_send{.replayable = false}},
+     "outcome_unknown"},
+    {"lost read after a hop", true, true, {here, sending{}, lost_after_send{}}, "outcome_unknown"},
+    {"stale route",
+     false,
+     false,
+     {here, sending{}, refused_not_run{error_kind::stale_route}},
+     "look up"},
+    {"shed",
+     false,
+     false,
+     {here, sending{}, refused_not_run{error_kind::server_refused}},
+     "server_refused"},
+    {"lost read, then shed",
+     true,
+     false,
+     {here, sending{}, lost_after_send{}, here, sending{},
+      refused_not_run{error_kind::server_refused}},
+     "outcome_unknown"},
+    {"caller leaves", false, false, {here, sending{}, caller_left{}}, "cut"},
+    {"answer after the end",
+     false,
+     false,
+     {here, sending{}, deadline_passed{}, answer_begun{}, answer_ended{}},
+     "carry on"},
+};
+
+/// The first violation found within a number of random runs; empty when there is none.
+std::string violation_of(broken_part broken)
+{
+    constexpr std::uint64_t most_runs = 20000;
+    constexpr int steps = 150;
+    for (std::uint64_t run = 0; run < most_runs; ++run) {
+        request_world world{broken};
+        auto state = run * 1000003;
+        for (int i = 0; i < steps; ++i) {
+            world.step(static_cast<std::uint32_t>(next_random(state)));
+        }
+        world.settle();
+        if (!world.violation.empty()) {
+            return world.violation;
+        }
+    }
+    return {};
+}
+
+struct broken_row {
+    const char* name;
+    broken_part part;
+    std::set<std::string> violations;
+};
+
+const broken_row broken_rows[] = {
+    {"resends after first byte",
+     broken_part::resends_after_first_byte,
+     {"a non-idempotent request ran twice", "a request refused as not run has run"}},
+    {"says not run after send",
+     broken_part::says_not_run_after_send,
+     {"a request refused as not run has run"}},
+    {"ignores requests elsewhere",
+     broken_part::ignores_requests_elsewhere,
+     {"a start passed the limit or the cold cap"}},
+    {"ignores expiry",
+     broken_part::ignores_expiry,
+     {"a start passed the limit or the cold cap", "a non-idempotent request ran twice"}},
+    {"window claims full coverage",
+     broken_part::window_claims_full_coverage,
+     {"a non-idempotent request ran twice"}},
+    {"caller repeats before the end",
+     broken_part::caller_repeats_before_the_end,
+     {"a non-idempotent request ran twice"}},
+};
+
+} // namespace
+
+TEST_GROUP(request_attempts_test){};
+
+TEST(request_attempts_test, follows_the_table)
+{
+    for (const auto& row : attempt_rows) {
+        retry_budget budget{{}};
+        request_attempts attempts{{},
+                                  {.idempotent = row.idempotent,
+                                   .forwarded = row.forwarded,
+                                   .arrival = start,
+                                   .deadline = start + seconds{2}},
+                                  budget,
+                                  1};
+        attempt_action last = carry_on{};
+        for (const auto& event : row.events) {
+            last = attempts.handle(event, start);
+        }
+        STRCMP_EQUAL_TEXT(row.last_action, text_of(last).c_str(), row.name);
+    }
+}
+
+TEST(request_attempts_test, sends_nothing_from_the_deadline_on)
+{
+    const std::vector<attempt_event> events{here, nowhere, elsewhere, not_sent{}, sending{}};
+    for (const auto& event : events) {
+        retry_budget budget{{}};
+        request_attempts attempts{{}, {.arrival = start, .deadline = start}, budget, 1};
+        STRCMP_EQUAL("deadline_expired", text_of(attempts.handle(event, start)).c_str());
+        CHECK_FALSE(attempts.may_run());
+    }
+}
+
+TEST(request_attempts_test, waits_for_a_route_a_bounded_time)
+{
+    retry_budget budget{{}};
+    const attempt_settings settings{};
+    request_attempts attempts{
+        settings, {.arrival = start, .deadline = start + seconds{30}}, budget, 1};
+    auto now = start;
+    auto action = attempts.handle(nowhere, now);
+    while (const auto* wait = std::get_if<look_up_route>(&action)) {
+        now += wait->delay;
+        action = attempts.handle(nowhere, now);
+    }
+    STRCMP_EQUAL("no_owner", text_of(action).c_str());
+    CHECK(now - start == settings.route_patience);
+}
+
+TEST(request_attempts_test, keeps_its_promises_whatever_happens)
+{
+    CHECK_PROPERTY("promises", [](const std::vector<std::uint16_t>& seeds) {
+        request_world world{broken_part::none};
+        std::uint64_t state = 0;
+        constexpr int steps_per_seed = 8;
+        for (const auto seed : seeds) {
+            state += seed;
+            for (int i = 0; i < steps_per_seed; ++i) {
+                world.step(static_cast<std::uint32_t>(next_random(state)));
+            }
+        }
+        world.settle();
+        RC_ASSERT(world.violation == "");
+    });
+}
+
+TEST(request_attempts_test, keeps_its_promises_in_long_runs)
+{
+    STRCMP_EQUAL("", violation_of(broken_part::none).c_str());
+}
+
+TEST(request_attempts_test, finds_each_broken_variant)
+{
+    for (const auto& row : broken_rows) {
+        const auto found = violation_of(row.part);
+        CHECK_TRUE_TEXT(row.violations.contains(found), (row.name + (": " + found)).c_str());
+    }
+}
