--- a/include/figreach/request_head.h
+++ b/include/figreach/request_head.h
@@ -20,6 +20,7 @@
 inline constexpr auto deadline = "X-Figreach-Deadline-Ms";
 inline constexpr auto attempt = "X-Figreach-Attempt";
 inline constexpr auto hops = "X-Figreach-Hops";
+inline constexpr auto spread = "X-Figreach-Spread"; ///< between entry hosts only
 inline constexpr auto request_id = "X-Figreach-Request-Id";
 inline constexpr auto fence = "X-Figreach-Fence";
 inline constexpr auto hash = "X-Figreach-Hash";
--- a/include/figreach/runtime/caller_session.h
+++ b/include/figreach/runtime/caller_session.h
@@ -1,11 +1,17 @@
 #pragma once
 
+#include <atomic>
+#include <cstdint>
+#include <map>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include "figreach/ids.h"
+#include "figreach/request_attempts.h"
 #include "figreach/request_head.h"
 #include "figreach/routing.h"
 #include "figreach/runtime/connection_pool.h"
@@ -15,14 +21,25 @@
 
 namespace figreach {
 
+/// What the threads of one request plane share.
+struct request_plane_state {
+    std::atomic<bool> draining{false};
+    std::atomic<std::uint64_t> in_flight{0};
+};
+
 /// What the sessions of one request thread share.
 struct request_thread {
     const host_id& self;
     const route_board& routes;
     const link_board& links;
     connection_pool& pool;
+    request_plane_state& plane;
     std::shared_ptr<const routing_snapshot> snapshot;
     std::uint64_t seen_generation = 0;
+    retry_budget budget{{}};
+    std::uint64_t random_state = 0;
+    /// Requests of this thread under way, by backend server.
+    std::map<backend_server_id, std::uint32_t> outstanding;
 };
 
 /// Serves one connection of a caller or of a forwarding entry host until it closes.
@@ -31,20 +48,34 @@
     caller_session(request_thread& home, boost::asio::ip::tcp::socket socket);
 
     boost::asio::awaitable<void> run();
+    /// Closes the connection if it carries no request. Called on the session's thread.
+    void close_if_idle();
 
 private:
+    struct exchange;
+
     boost::asio::awaitable<bool> serve_one();
-    boost::asio::awaitable<bool> dispatch(request_parser& parser, const checked_request& request,
-                                          monotonic_time arrival);
-    boost::asio::awaitable<bool> send_here(caller_side caller, const checked_request& request,
-                                           const route& to, monotonic_time deadline);
-    boost::asio::awaitable<bool> forward(caller_side caller, const checked_request& request,
-                                         const route& to, monotonic_time deadline);
-    boost::asio::awaitable<bool> conclude(caller_side caller, const relay_result& result);
+    boost::asio::awaitable<bool> check_and_serve(caller_side caller, monotonic_time arrival);
+    boost::asio::awaitable<bool> serve_checked(caller_side caller, const checked_request& request,
+                                               monotonic_time arrival);
+    boost::asio::awaitable<bool> serve(exchange& one);
+    boost::asio::awaitable<std::optional<attempt_event>> perform(exchange& one,
+                                                                 const attempt_action& action);
+    boost::asio::awaitable<attempt_event> wait_and_look_up(exchange& one, milliseconds delay);
+    boost::asio::awaitable<attempt_event> send_to_owner(exchange& one);
+    boost::asio::awaitable<attempt_event> send_admitted(exchange& one, server_link& link,
+                                                        ticket id);
+    boost::asio::awaitable<attempt_event> forward(exchange& one);
+    boost::asio::awaitable<std::unique_ptr<upstream_connection>> connect(const std::string& address,
+                                                                         monotonic_time deadline);
+    boost::asio::awaitable<void> linger();
+    [[nodiscard]] attempt_event look_up(exchange& one);
+    void spread(exchange& one);
 
     request_thread& home;
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
+    bool idle = false;
 };
 
 } // namespace figreach
--- a/include/figreach/runtime/relay.h
+++ b/include/figreach/runtime/relay.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -12,6 +13,7 @@
 #include <boost/beast/http/parser.hpp>
 
 #include "figreach/error_kind.h"
+#include "figreach/idempotency_window.h"
 #include "figreach/runtime/connection_pool.h"
 #include "figreach/time.h"
 
@@ -24,6 +26,19 @@
     boost::beast::tcp_stream& stream;
     boost::beast::flat_buffer& buffer;
     request_parser& parser;
+    const std::string* short_body = nullptr; ///< the whole body, when it was read ahead
+};
+
+/// What is to be sent upstream, and what is to be told meanwhile.
+struct relay_order {
+    boost::beast::http::fields fields; ///< replaces the request's end-to-end fields
+    monotonic_time deadline{};
+    /// Asked right before the first byte is sent.
+    std::function<bool()> may_send = [] { return true; };
+    /// Called when the upstream has given its whole answer, or will give no more.
+    std::function<void()> upstream_done = [] {};
+    bool cancel_when_caller_leaves = true;
+    bool keep_answer = false; ///< fill relay_result::kept
 };
 
 /// How one exchange with an upstream ended.
@@ -43,19 +58,30 @@
     bool keep_caller = false;   ///< the caller's connection can carry another request
     bool keep_upstream = false; ///< the upstream connection can carry another request
     milliseconds retry_after{0};
-    std::string refused_as; ///< error name given by an upstream that refused
+    std::string refused_as;          ///< error name given by an upstream that refused
+    std::uint64_t incarnation = 0;   ///< named by a backend server; 0: none
+    std::optional<kept_answer> kept; ///< a whole short answer, when asked for
 };
 
 /// Sends the caller's request upstream and passes the answer back, in bounded memory.
-/// `fields` replaces the request's end-to-end fields. `may_send` is asked right before the first
-/// byte is sent.
 boost::asio::awaitable<relay_result> relay(caller_side caller, upstream_connection& upstream,
-                                           boost::beast::http::fields fields,
-                                           monotonic_time deadline, std::function<bool()> may_send);
+                                           relay_order order);
+
+/// Reads a short body ahead, so that the request can be sent again and a slow sender holds no
+/// slot. Empty when the caller left or the body is malformed. Requires reads_ahead(parser).
+boost::asio::awaitable<std::optional<std::string>> read_ahead(caller_side caller,
+                                                              monotonic_time deadline);
+
+/// Whether the body has a length that is short enough to be read ahead.
+[[nodiscard]] bool reads_ahead(const request_parser& parser);
 
 /// Answers a request that is given up, with the body and fields that the error table states.
+/// True when the caller's connection can carry another request.
 boost::asio::awaitable<bool> refuse(caller_side caller, error_kind kind, milliseconds retry_after);
 
+/// Answers a repeat with the answer that the first request got.
+boost::asio::awaitable<bool> replay(caller_side caller, const kept_answer& answer);
+
 /// The end-to-end fields of a message: all but those that concern one connection.
 [[nodiscard]] boost::beast::http::fields end_to_end(const boost::beast::http::fields& all);
 
--- a/include/figreach/runtime/request_plane.h
+++ b/include/figreach/runtime/request_plane.h
@@ -12,6 +12,8 @@
 
 namespace figreach {
 
+struct request_plane_state;
+
 struct request_plane_settings {
     host_id self;
     std::string caller_address;
@@ -29,9 +31,16 @@
     request_plane(const request_plane&) = delete;
     request_plane& operator=(const request_plane&) = delete;
 
+    /// Refuses new requests from now on and closes connections that carry none; requests under
+    /// way finish. Safe to call from any thread.
+    void begin_drain();
+    /// Requests under way.
+    [[nodiscard]] std::uint64_t in_flight() const;
+
 private:
     class worker;
 
+    std::unique_ptr<request_plane_state> state;
     host_id self;
     std::vector<std::unique_ptr<worker>> workers;
     std::vector<std::thread> duties;
--- a/src/runtime/caller_session.cpp
+++ b/src/runtime/caller_session.cpp
@@ -1,13 +1,17 @@
 #include "figreach/runtime/caller_session.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include "figreach/runtime/caller_watch.h"
+
 namespace figreach {
 
 namespace asio = boost::asio;
@@ -19,6 +23,11 @@
 constexpr std::uint32_t most_header_bytes = 16 * 1024;
 constexpr seconds idle_limit{60};
 constexpr milliseconds default_retry_after{200};
+constexpr milliseconds linger_limit{1000};
+constexpr std::size_t most_linger_bytes = 1024 * 1024;
+constexpr std::size_t linger_chunk_bytes = 16 * 1024;
+
+constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 
 std::string text(const http::fields& fields, const char* name)
 {
@@ -55,14 +64,17 @@
     return too_large ? error_kind::header_too_large : error_kind::malformed_request;
 }
 
-gate_ending gate_ending_of(relay_ending ending)
+gate_ending gate_ending_of(const relay_result& result)
 {
-    switch (ending) {
+    switch (result.ending) {
     case relay_ending::answered:
         return gate_ending::answered;
-    case relay_ending::refused:
+    case relay_ending::refused: {
+        const bool stale = result.refused_as == name_of(error_kind::stale_route);
+        return stale ? gate_ending::not_sent : gate_ending::refused;
+    }
     case relay_ending::not_sent:
-        return gate_ending::refused;
+        return gate_ending::not_sent;
     case relay_ending::caller_gone:
         return gate_ending::cancelled;
     case relay_ending::lost:
@@ -85,8 +97,120 @@
     return error_kind::server_refused;
 }
 
+attempt_event event_of(const relay_result& result, bool replayable)
+{
+    switch (result.ending) {
+    case relay_ending::answered:
+        return answer_ended{};
+    case relay_ending::refused:
+        return refused_not_run{.kind = refused_kind(result.refused_as),
+                               .retry_after = std::max(result.retry_after, default_retry_after),
+                               .replayable = replayable};
+    case relay_ending::not_sent:
+        return not_sent{.kind = error_kind::no_owner};
+    case relay_ending::lost:
+        return lost_after_send{.replayable = replayable};
+    case relay_ending::late:
+        return deadline_passed{};
+    case relay_ending::cut_short:
+        return answer_cut{};
+    case relay_ending::caller_gone:
+        return caller_left{};
+    }
+    return lost_after_send{.replayable = false};
+}
+
+/// Tells the window how a request that it let run has ended.
+void note_outcome(server_link& link, const repeat_id& id, const relay_result& result)
+{
+    const bool not_run =
+        result.ending == relay_ending::refused || result.ending == relay_ending::not_sent;
+    if (not_run) {
+        link.forget(id);
+    }
+    else if (result.kept || result.ending == relay_ending::answered) {
+        link.finish(id, result.kept);
+    }
+    else {
+        link.lose(id);
+    }
+}
+
+/// Counts one while it lives.
+template <class Counter>
+class counted {
+public:
+    explicit counted(Counter& counter_) : counter{counter_} { ++this->counter; }
+    ~counted() { --this->counter; }
+    counted(const counted&) = delete;
+    counted& operator=(const counted&) = delete;
+
+private:
+    Counter& counter;
+};
+
 } // namespace
 
+/// One request while it is served.
+struct caller_session::exchange {
+    caller_side caller;
+    const checked_request& request;
+    request_attempts& attempts;
+    monotonic_time deadline{};
+    bool replayable = true;
+    bool keep_caller = false;
+    std::shared_ptr<const routing_snapshot> snapshot; ///< keeps `to` valid
+    route to;
+    std::string spread_key; ///< chooses the server of a service that is not divided by key
+    std::optional<window_replay> replay;
+
+    [[nodiscard]] bool windowed() const
+    {
+        return !this->request.idempotent && !this->request.idempotency_key.empty();
+    }
+
+    [[nodiscard]] repeat_id id() const
+    {
+        return {.service = this->request.target->name,
+                .key = this->request.key,
+                .idempotency_key = this->request.idempotency_key};
+    }
+
+    [[nodiscard]] repeat_question question() const
+    {
+        const auto& head = this->caller.parser.get();
+        auto fingerprint = std::string{head.method_string()};
+        fingerprint += ' ';
+        fingerprint += std::string_view{head.target()};
+        const auto& document = *this->to.document;
+        return {.id = this->id(),
+                .slice = {.first = document.slices[this->to.slice].first,
+                          .last = last_hash(document, this->to.slice),
+                          .fence = this->to.fence},
+                .fingerprint = std::move(fingerprint),
+                .first_attempt = this->request.first_attempt};
+    }
+
+    /// The fields to send upstream.
+    [[nodiscard]] http::fields fields(const std::string& address) const
+    {
+        auto out = end_to_end(this->caller.parser.get());
+        out.set(http::field::host, address);
+        out.set(field::deadline, remaining_ms(this->deadline));
+        return out;
+    }
+
+    /// Whether the first byte may leave now; notes that it may have, if so.
+    [[nodiscard]] bool begin_sending()
+    {
+        const auto now = monotonic_time::clock::now();
+        if (now >= this->deadline || has_left(this->caller.stream.socket())) {
+            return false;
+        }
+        return std::holds_alternative<carry_on>(this->attempts.handle(sending{}, now));
+    }
+};
+
 caller_session::caller_session(request_thread& home_, asio::ip::tcp::socket socket)
     : home{home_}, stream{std::move(socket)}
 {
@@ -98,7 +222,14 @@
     this->stream.socket().set_option(asio::ip::tcp::no_delay{true}, ignored);
     while (co_await this->serve_one()) {
     }
-    this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    co_await this->linger();
+}
+
+void caller_session::close_if_idle()
+{
+    if (this->idle && this->buffer.size() == 0) {
+        this->stream.cancel();
+    }
 }
 
 asio::awaitable<bool> caller_session::serve_one()
@@ -107,142 +238,306 @@
     parser.header_limit(most_header_bytes);
     parser.body_limit(boost::none);
     this->stream.expires_after(idle_limit);
-    const auto [failed, count] = co_await http::async_read_header(
-        this->stream, this->buffer, parser, asio::as_tuple(asio::use_awaitable));
-    caller_side caller{.stream = this->stream, .buffer = this->buffer, .parser = parser};
-    if (failed == http::error::end_of_stream ||
-        failed.category() != make_error_code(http::error{}).category()) {
-        if (failed) {
-            co_return false;
-        }
-    }
+    this->idle = true;
+    const auto [failed, count] =
+        co_await http::async_read_header(this->stream, this->buffer, parser, no_throw);
+    this->idle = false;
+    const caller_side caller{.stream = this->stream, .buffer = this->buffer, .parser = parser};
     if (failed) {
-        co_await refuse(caller, kind_of(failed), default_retry_after);
+        const bool malformed = failed != http::error::end_of_stream &&
+                               failed != http::error::partial_message &&
+                               failed.category() == make_error_code(http::error{}).category();
+        if (malformed) {
+            co_await refuse(caller, kind_of(failed), default_retry_after);
+        }
         co_return false;
     }
-    const auto arrival = monotonic_time::clock::now();
+    const counted in_flight{this->home.plane.in_flight};
+    co_return co_await this->check_and_serve(caller, monotonic_time::clock::now());
+}
+
+asio::awaitable<bool> caller_session::check_and_serve(caller_side caller, monotonic_time arrival)
+{
+    if (this->home.plane.draining) {
+        caller.parser.get().keep_alive(false);
+        co_return co_await refuse(caller, error_kind::host_stopping, default_retry_after);
+    }
     this->home.routes.refresh(this->home.snapshot, this->home.seen_generation);
     if (!this->home.snapshot) {
         co_return co_await refuse(caller, error_kind::no_owner, default_retry_after);
     }
     const auto held = this->home.snapshot;
-    const auto checked = check_request(head_of(parser), *held->shared);
+    const auto checked = check_request(head_of(caller.parser), *held->shared);
     if (const auto* wrong = std::get_if<error_kind>(&checked)) {
         co_return co_await refuse(caller, *wrong, default_retry_after);
     }
-    co_return co_await this->dispatch(parser, std::get<checked_request>(checked), arrival);
+    co_return co_await this->serve_checked(caller, std::get<checked_request>(checked), arrival);
 }
 
-asio::awaitable<bool> caller_session::dispatch(request_parser& parser,
-                                               const checked_request& request,
-                                               monotonic_time arrival)
+asio::awaitable<bool> caller_session::serve_checked(caller_side caller,
+                                                    const checked_request& request,
+                                                    monotonic_time arrival)
 {
-    const auto held = this->home.snapshot;
-    caller_side caller{.stream = this->stream, .buffer = this->buffer, .parser = parser};
-    const auto to = find_route(*held, *request.target, request.key);
     const auto deadline = arrival + request.allowed;
-    if (to.server == nullptr) {
-        co_return co_await refuse(caller, error_kind::no_owner, default_retry_after);
+    std::optional<std::string> body;
+    if (reads_ahead(caller.parser)) {
+        body = co_await read_ahead(caller, deadline);
+        if (!body && monotonic_time::clock::now() >= deadline) {
+            co_return co_await refuse(caller, error_kind::deadline_expired, default_retry_after);
+        }
+        if (!body) {
+            co_return false;
+        }
+        caller.short_body = &*body;
+    }
+    const attempt_facts facts{.idempotent = request.idempotent,
+                              .divided_by_key = request.target->divided_by_key,
+                              .forwarded = request.hops > 0,
+                              .arrival = arrival,
+                              .deadline = deadline};
+    request_attempts attempts{{}, facts, this->home.budget, next_random(this->home.random_state)};
+    exchange one{.caller = caller,
+                 .request = request,
+                 .attempts = attempts,
+                 .deadline = deadline,
+                 .replayable = caller.parser.is_done()};
+    co_return co_await this->serve(one);
+}
+
+asio::awaitable<bool> caller_session::serve(exchange& one)
+{
+    attempt_event event = this->look_up(one);
+    for (;;) {
+        const auto action = one.attempts.handle(event, monotonic_time::clock::now());
+        if (const auto* error = std::get_if<give_error>(&action)) {
+            co_return co_await refuse(one.caller, error->kind, error->retry_after);
+        }
+        if (const auto* over = std::get_if<conclude>(&action)) {
+            if (one.replay) {
+                co_return co_await replay(one.caller, one.replay->answer);
+            }
+            const bool keep = over->clean && one.keep_caller;
+            co_return keep;
+        }
+        auto next = co_await this->perform(one, action);
+        if (!next) {
+            co_return false;
+        }
+        event = std::move(*next);
+    }
+}
+
+asio::awaitable<std::optional<attempt_event>> caller_session::perform(exchange& one,
+                                                                      const attempt_action& action)
+{
+    if (const auto* wait = std::get_if<look_up_route>(&action)) {
+        co_return co_await this->wait_and_look_up(one, wait->delay);
     }
-    if (to.server->coordinated_here) {
-        co_return co_await this->send_here(caller, request, to, deadline);
+    if (!one.to.server) {
+        co_return std::nullopt;
     }
-    if (request.hops > 0) {
-        co_return co_await refuse(caller, error_kind::not_coordinator, default_retry_after);
+    const counted outstanding{this->home.outstanding[one.to.server->server]};
+    if (std::holds_alternative<send_here>(action)) {
+        co_return co_await this->send_to_owner(one);
     }
-    if (to.server->forward_address.empty()) {
-        co_return co_await refuse(caller, error_kind::no_owner, default_retry_after);
+    if (std::holds_alternative<forward_request>(action)) {
+        co_return co_await this->forward(one);
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<attempt_event> caller_session::wait_and_look_up(exchange& one, milliseconds delay)
+{
+    asio::steady_timer timer{this->stream.get_executor()};
+    timer.expires_after(delay);
+    co_await timer.async_wait(no_throw);
+    if (has_left(this->stream.socket())) {
+        co_return caller_left{};
+    }
+    this->home.routes.refresh(this->home.snapshot, this->home.seen_generation);
+    co_return this->look_up(one);
+}
+
+attempt_event caller_session::look_up(exchange& one)
+{
+    one.snapshot = this->home.snapshot;
+    const auto& target = *one.request.target;
+    if (target.divided_by_key) {
+        one.to = find_route(*one.snapshot, target, one.request.key);
+    }
+    else if (one.windowed()) {
+        // All repeats of one request must meet at one server.
+        one.to = find_route(*one.snapshot, target, one.request.idempotency_key);
+    }
+    else if (one.request.hops > 0) {
+        one.to = find_route(*one.snapshot, target, one.caller.parser.get()[field::spread]);
+    }
+    else {
+        this->spread(one);
+    }
+    const auto* server = one.to.server;
+    if (server == nullptr || !server->takes_new_work) {
+        return route_found{route_finding::none};
+    }
+    if (server->coordinated_here) {
+        return route_found{route_finding::here};
+    }
+    const bool known = !server->forward_address.empty();
+    return route_found{known ? route_finding::elsewhere : route_finding::none};
+}
+
+/// Takes the less busy of two random servers of a service that is not divided by key.
+void caller_session::spread(exchange& one)
+{
+    constexpr int choices = 2;
+    std::uint32_t least = 0;
+    one.to = {};
+    for (int i = 0; i < choices; ++i) {
+        auto key = std::to_string(next_random(this->home.random_state));
+        const auto found = find_route(*one.snapshot, *one.request.target, key);
+        if (found.server == nullptr || !found.server->takes_new_work) {
+            continue;
+        }
+        const auto busy = this->home.outstanding[found.server->server];
+        if (one.to.server == nullptr || busy < least) {
+            one.to = found;
+            one.spread_key = std::move(key);
+            least = busy;
+        }
     }
-    co_return co_await this->forward(caller, request, to, deadline);
 }
 
-asio::awaitable<bool> caller_session::send_here(caller_side caller, const checked_request& request,
-                                                const route& to, monotonic_time deadline)
+asio::awaitable<attempt_event> caller_session::send_to_owner(exchange& one)
 {
-    const auto link = this->home.links.find(to.server->server);
+    const auto link = this->home.links.find(one.to.server->server);
     if (!link) {
-        co_return co_await refuse(caller, error_kind::no_owner, default_retry_after);
+        co_return given_up_here{.kind = error_kind::no_owner, .retry_after = default_retry_after};
+    }
+    const auto question = one.question();
+    link->count(question.slice.first);
+    if (one.windowed()) {
+        const auto decision = link->begin(question);
+        if (const auto* refused = std::get_if<window_refuse>(&decision)) {
+            co_return given_up_here{.kind = refused->kind, .retry_after = refused->retry_after};
+        }
+        if (const auto* known = std::get_if<window_replay>(&decision)) {
+            one.replay = *known;
+            co_return answer_ended{};
+        }
     }
-    gate_request asked{.id = link->next_ticket(),
-                       .tenant = request.payer->name,
-                       .request_class = request.request_class,
-                       .shed_order = request.shed_order,
-                       .weight = request.payer->weight,
-                       .deadline = deadline};
-    const auto decision = co_await link->admit(asked);
-    if (const auto* refused = std::get_if<gate_refuse>(&decision)) {
-        co_return co_await refuse(caller, refused->kind, refused->retry_after);
+    const gate_request asked{.id = link->next_ticket(),
+                             .tenant = one.request.payer->name,
+                             .request_class = one.request.request_class,
+                             .shed_order = one.request.shed_order,
+                             .weight = one.request.payer->weight,
+                             .deadline = one.deadline};
+    const auto decision = co_await link->admit(asked, this->stream.socket());
+    const auto* refused = decision ? std::get_if<gate_refuse>(&*decision) : nullptr;
+    if (!decision || refused != nullptr) {
+        if (one.windowed()) {
+            link->forget(question.id);
+        }
+        if (refused == nullptr) {
+            co_return caller_left{};
+        }
+        co_return given_up_here{.kind = refused->kind, .retry_after = refused->retry_after};
     }
+    co_return co_await this->send_admitted(one, *link, asked.id);
+}
+
+asio::awaitable<attempt_event> caller_session::send_admitted(exchange& one, server_link& link,
+                                                             ticket id)
+{
     const auto begun = monotonic_time::clock::now();
-    std::unique_ptr<upstream_connection> connection;
-    try {
-        connection = co_await this->home.pool.take(to.server->address, deadline);
+    const auto& address = one.to.server->address;
+    auto connection = co_await this->connect(address, one.deadline);
+    if (!connection) {
+        link.finish(id, gate_ending::not_sent, nanoseconds{0});
+        if (one.windowed()) {
+            link.forget(one.id());
+        }
+        co_return not_sent{.kind = error_kind::server_unreachable};
     }
-    catch (const boost::system::system_error&) {
-        connection.reset();
+    auto fields = one.fields(address);
+    fields.set(field::fence, std::to_string(one.to.fence));
+    fields.set(field::hash, std::to_string(one.to.hash));
+    relay_order order{.fields = std::move(fields), .deadline = one.deadline};
+    order.may_send = [&link, &one] { return link.has_authority() && one.begin_sending(); };
+    order.upstream_done = [&link, id, begun] {
+        link.finish(id, gate_ending::answered, monotonic_time::clock::now() - begun);
+    };
+    // A request that may not be repeated runs to its end, so that its outcome is known.
+    order.cancel_when_caller_leaves = one.request.idempotent;
+    order.keep_answer = one.windowed();
+    const auto result = co_await relay(one.caller, *connection, std::move(order));
+    link.finish(id, gate_ending_of(result), monotonic_time::clock::now() - begun);
+    if (result.incarnation != 0) {
+        link.note_incarnation(result.incarnation);
+    }
+    if (one.windowed()) {
+        note_outcome(link, one.id(), result);
+    }
+    if (result.keep_upstream) {
+        this->home.pool.give_back(address, std::move(connection));
     }
+    one.keep_caller = result.keep_caller;
+    co_return event_of(result, one.replayable);
+}
+
+asio::awaitable<attempt_event> caller_session::forward(exchange& one)
+{
+    const auto& address = one.to.server->forward_address;
+    auto connection = co_await this->connect(address, one.deadline);
     if (!connection) {
-        link->finish(asked.id, gate_ending::refused, nanoseconds{0});
-        co_return co_await refuse(caller, error_kind::server_unreachable, default_retry_after);
-    }
-    auto fields = end_to_end(caller.parser.get());
-    fields.set(http::field::host, to.server->address);
-    fields.set(field::fence, std::to_string(to.fence));
-    fields.set(field::hash, std::to_string(to.hash));
-    fields.set(field::deadline, remaining_ms(deadline));
-    const auto may_send = [link] { return link->has_authority(); };
-    const auto result = co_await relay(caller, *connection, std::move(fields), deadline, may_send);
-    link->finish(asked.id, gate_ending_of(result.ending), monotonic_time::clock::now() - begun);
+        co_return not_sent{.kind = error_kind::no_owner};
+    }
+    auto fields = one.fields(address);
+    fields.set(field::hops, std::to_string(one.request.hops + 1));
+    if (!one.spread_key.empty()) {
+        fields.set(field::spread, one.spread_key);
+    }
+    relay_order order{.fields = std::move(fields), .deadline = one.deadline};
+    order.may_send = [&one] { return one.begin_sending(); };
+    order.cancel_when_caller_leaves = one.request.idempotent;
+    const auto result = co_await relay(one.caller, *connection, std::move(order));
     if (result.keep_upstream) {
-        this->home.pool.give_back(to.server->address, std::move(connection));
+        this->home.pool.give_back(address, std::move(connection));
     }
-    co_return co_await this->conclude(caller, result);
+    one.keep_caller = result.keep_caller;
+    co_return event_of(result, one.replayable);
 }
 
-asio::awaitable<bool> caller_session::forward(caller_side caller, const checked_request& request,
-                                              const route& to, monotonic_time deadline)
+asio::awaitable<std::unique_ptr<upstream_connection>>
+caller_session::connect(const std::string& address, monotonic_time deadline)
 {
-    std::unique_ptr<upstream_connection> connection;
     try {
-        connection = co_await this->home.pool.take(to.server->forward_address, deadline);
+        co_return co_await this->home.pool.take(address, deadline);
     }
     catch (const boost::system::system_error&) {
-        connection.reset();
-    }
-    if (!connection) {
-        co_return co_await refuse(caller, error_kind::no_owner, default_retry_after);
+        co_return nullptr;
     }
-    auto fields = end_to_end(caller.parser.get());
-    fields.set(http::field::host, to.server->forward_address);
-    fields.set(field::hops, std::to_string(request.hops + 1));
-    fields.set(field::deadline, remaining_ms(deadline));
-    const auto may_send = [deadline] { return monotonic_time::clock::now() < deadline; };
-    const auto result = co_await relay(caller, *connection, std::move(fields), deadline, may_send);
-    if (result.keep_upstream) {
-        this->home.pool.give_back(to.server->forward_address, std::move(connection));
-    }
-    co_return co_await this->conclude(caller, result);
 }
 
-asio::awaitable<bool> caller_session::conclude(caller_side caller, const relay_result& result)
+/// Closes the connection so that an answer that is still under way is not destroyed by bytes that
+/// the caller sends and nobody reads.
+asio::awaitable<void> caller_session::linger()
 {
-    switch (result.ending) {
-    case relay_ending::answered:
-        co_return result.keep_caller;
-    case relay_ending::refused:
-        co_return co_await refuse(caller, refused_kind(result.refused_as),
-                                  std::max(result.retry_after, default_retry_after));
-    case relay_ending::not_sent:
-        co_return co_await refuse(caller, error_kind::no_owner, default_retry_after);
-    case relay_ending::lost:
-        co_return co_await refuse(caller, error_kind::outcome_unknown, default_retry_after);
-    case relay_ending::late:
-        co_return co_await refuse(caller, error_kind::deadline_exceeded, default_retry_after);
-    case relay_ending::cut_short:
-    case relay_ending::caller_gone:
-        co_return false;
+    beast::error_code failed;
+    this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, failed);
+    if (failed) {
+        co_return;
+    }
+    this->stream.expires_after(linger_limit);
+    std::array<char, linger_chunk_bytes> chunk{};
+    std::size_t drained = 0;
+    while (drained < most_linger_bytes) {
+        const auto [bad, count] =
+            co_await this->stream.async_read_some(asio::buffer(chunk), no_throw);
+        if (bad) {
+            co_return;
+        }
+        drained += count;
     }
-    co_return false;
 }
 
 } // namespace figreach
--- a/src/runtime/relay.cpp
+++ b/src/runtime/relay.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
@@ -16,6 +17,7 @@
 #include <boost/json.hpp>
 
 #include "figreach/request_head.h"
+#include "figreach/runtime/caller_watch.h"
 
 namespace figreach {
 
@@ -27,7 +29,9 @@
 
 constexpr std::size_t chunk_bytes = 64 * 1024;
 constexpr std::uint64_t most_buffered_answer_bytes = 64 * 1024;
+constexpr std::uint64_t most_ahead_bytes = 64 * 1024;
 constexpr std::size_t most_answer_header_bytes = 64 * 1024;
+constexpr milliseconds answer_limit{5000};
 constexpr unsigned http_1_1 = 11;
 
 using answer_parser = http::response_parser<http::buffer_body>;
@@ -39,6 +43,17 @@
     return !failed || failed == http::error::need_buffer;
 }
 
+/// Answers 100 to a caller that waits for it before it sends its body.
+asio::awaitable<bool> ask_for_body(caller_side caller)
+{
+    if (!beast::iequals(caller.parser.get()[http::field::expect], "100-continue")) {
+        co_return true;
+    }
+    http::response<http::empty_body> go_on{http::status::continue_, http_1_1};
+    const auto [failed, count] = co_await http::async_write(caller.stream, go_on, no_throw);
+    co_return !failed;
+}
+
 /// Reads the caller's body and writes it upstream, one chunk at a time.
 asio::awaitable<relay_ending> relay_body(caller_side caller, upstream_connection& upstream,
                                          http::request_serializer<http::buffer_body>& writer,
@@ -71,10 +86,27 @@
     co_return relay_ending::answered;
 }
 
+asio::awaitable<relay_ending> send_short(caller_side caller, upstream_connection& upstream,
+                                         const http::fields& fields)
+{
+    const auto& from = caller.parser.get();
+    http::request<http::string_body> request{from.method(), from.target(), http_1_1};
+    static_cast<http::fields&>(request) = fields;
+    request.method_string(from.method_string());
+    request.target(from.target());
+    request.body() = *caller.short_body;
+    request.content_length(caller.short_body->size());
+    const auto [failed, count] = co_await http::async_write(upstream.stream, request, no_throw);
+    co_return failed ? relay_ending::lost : relay_ending::answered;
+}
+
 asio::awaitable<relay_ending> send_request(caller_side caller, upstream_connection& upstream,
                                            const http::fields& fields)
 {
     const auto& from = caller.parser.get();
+    if (caller.short_body != nullptr) {
+        co_return co_await send_short(caller, upstream, fields);
+    }
     if (caller.parser.is_done()) {
         http::request<http::empty_body> request{from.method(), from.target(), http_1_1};
         static_cast<http::fields&>(request) = fields;
@@ -86,6 +118,9 @@
         const auto [failed, count] = co_await http::async_write(upstream.stream, request, no_throw);
         co_return failed ? relay_ending::lost : relay_ending::answered;
     }
+    if (!co_await ask_for_body(caller)) {
+        co_return relay_ending::caller_gone;
+    }
     http::request<http::buffer_body> request;
     static_cast<http::fields&>(request) = fields;
     request.version(http_1_1);
@@ -163,7 +198,8 @@
 
 /// Passes on an answer of any length, one chunk at a time.
 asio::awaitable<relay_ending> stream_answer(caller_side caller, upstream_connection& upstream,
-                                            answer_parser& answer, bool keep_caller)
+                                            answer_parser& answer, const relay_order& order,
+                                            bool keep_caller)
 {
     http::response<http::buffer_body> out;
     static_cast<http::fields&>(out) = end_to_end(answer.get());
@@ -200,6 +236,9 @@
             out.body().size = chunk.size() - answer.get().body().size;
         }
         out.body().more = !answer.is_done();
+        if (answer.is_done()) {
+            order.upstream_done();
+        }
         const auto [failed, count] = co_await http::async_write(caller.stream, writer, no_throw);
         if (!is_expected(failed)) {
             co_return relay_ending::caller_gone;
@@ -208,10 +247,24 @@
     co_return relay_ending::answered;
 }
 
+void keep(relay_result& result, const answer_parser& answer, const std::string& body)
+{
+    const auto& head = answer.get();
+    result.kept = kept_answer{.status = head.result_int(),
+                              .content_type = std::string{head[http::field::content_type]},
+                              .body = body};
+}
+
 asio::awaitable<relay_ending> pass_answer(caller_side caller, upstream_connection& upstream,
-                                          answer_parser& answer, bool keep_caller)
+                                          answer_parser& answer, const relay_order& order,
+                                          relay_result& result)
 {
+    const bool keep_caller = result.keep_caller;
     if (answer.is_done()) {
+        if (order.keep_answer) {
+            keep(result, answer, {});
+        }
+        order.upstream_done();
         co_return co_await pass_bodiless_answer(caller, answer, keep_caller);
     }
     const auto length = answer.content_length();
@@ -220,9 +273,13 @@
         if (!co_await read_short_body(upstream, answer, body)) {
             co_return relay_ending::lost;
         }
+        if (order.keep_answer) {
+            keep(result, answer, body);
+        }
+        order.upstream_done();
         co_return co_await pass_short_answer(caller, answer, std::move(body), keep_caller);
     }
-    co_return co_await stream_answer(caller, upstream, answer, keep_caller);
+    co_return co_await stream_answer(caller, upstream, answer, order, keep_caller);
 }
 
 milliseconds retry_after_of(const http::fields& answer)
@@ -259,6 +316,33 @@
     return late ? relay_ending::late : relay_ending::lost;
 }
 
+std::uint64_t number_of(std::string_view text)
+{
+    std::uint64_t out = 0;
+    std::from_chars(text.data(), text.data() + text.size(), out);
+    return out;
+}
+
+/// Reads the head of the answer; watches the caller meanwhile when it may cancel the request.
+asio::awaitable<relay_ending> await_answer(caller_side caller, upstream_connection& upstream,
+                                           answer_parser& answer, const relay_order& order)
+{
+    bool left = false;
+    std::optional<caller_watch> watch;
+    if (order.cancel_when_caller_leaves && caller.parser.is_done()) {
+        watch.emplace(caller.stream.socket(), [&left, &upstream] {
+            left = true;
+            upstream.stream.cancel();
+        });
+    }
+    const auto [failed, count] =
+        co_await http::async_read_header(upstream.stream, upstream.buffer, answer, no_throw);
+    if (!failed) {
+        co_return relay_ending::answered;
+    }
+    co_return left ? relay_ending::caller_gone : ending_after_send(order.deadline);
+}
+
 std::string refusal_body(const error_answer& row, milliseconds retry_after)
 {
     boost::json::object body{
@@ -286,21 +370,22 @@
 }
 
 asio::awaitable<relay_result> relay(caller_side caller, upstream_connection& upstream,
-                                    http::fields fields, monotonic_time deadline,
-                                    std::function<bool()> may_send)
+                                    relay_order order)
 {
     relay_result result;
+    const auto deadline = order.deadline;
     upstream.stream.expires_at(deadline);
     caller.stream.expires_at(deadline);
-    if (!may_send()) {
+    if (!order.may_send()) {
         result.ending = relay_ending::not_sent;
         result.keep_caller = caller.parser.is_done() && caller.parser.get().keep_alive();
         result.keep_upstream = true;
         co_return result;
     }
-    const auto sent = co_await send_request(caller, upstream, fields);
+    const auto sent = co_await send_request(caller, upstream, order.fields);
     if (sent == relay_ending::caller_gone) {
-        result.ending = sent;
+        const bool late = monotonic_time::clock::now() >= deadline;
+        result.ending = late ? relay_ending::late : sent;
         co_return result;
     }
     // An upstream may answer before it has read the whole request, and close.
@@ -308,19 +393,19 @@
     answer.body_limit(boost::none);
     answer.header_limit(most_answer_header_bytes);
     answer.skip(caller.parser.get().method() == http::verb::head);
-    const auto [failed, count] =
-        co_await http::async_read_header(upstream.stream, upstream.buffer, answer, no_throw);
+    const auto waited = co_await await_answer(caller, upstream, answer, order);
     result.keep_caller = caller.parser.is_done() && caller.parser.get().keep_alive();
-    if (failed) {
-        result.ending = ending_after_send(deadline);
+    if (waited != relay_ending::answered) {
+        result.ending = waited;
         co_return result;
     }
+    result.incarnation = number_of(answer.get()[field::incarnation]);
     if (co_await take_refusal(upstream, answer, result)) {
         co_return result;
     }
     result.status = answer.get().result_int();
     const bool upstream_keeps = answer.get().keep_alive() && sent == relay_ending::answered;
-    result.ending = co_await pass_answer(caller, upstream, answer, result.keep_caller);
+    result.ending = co_await pass_answer(caller, upstream, answer, order, result);
     if (result.ending == relay_ending::lost) {
         result.ending = ending_after_send(deadline);
     }
@@ -328,9 +413,53 @@
     co_return result;
 }
 
+bool reads_ahead(const request_parser& parser)
+{
+    const auto length = parser.content_length();
+    return !parser.is_done() && length && *length <= most_ahead_bytes;
+}
+
+asio::awaitable<std::optional<std::string>> read_ahead(caller_side caller, monotonic_time deadline)
+{
+    caller.stream.expires_at(deadline);
+    if (!co_await ask_for_body(caller)) {
+        co_return std::nullopt;
+    }
+    std::string body(caller.parser.content_length().value_or(0), '\0');
+    std::size_t filled = 0;
+    while (!caller.parser.is_done()) {
+        caller.parser.get().body().data = body.data() + filled;
+        caller.parser.get().body().size = body.size() - filled;
+        const auto [failed, count] =
+            co_await http::async_read(caller.stream, caller.buffer, caller.parser, no_throw);
+        filled = body.size() - caller.parser.get().body().size;
+        if (!is_expected(failed)) {
+            co_return std::nullopt;
+        }
+    }
+    co_return body;
+}
+
+asio::awaitable<bool> replay(caller_side caller, const kept_answer& answer)
+{
+    const bool keep_caller = caller.parser.is_done() && caller.parser.get().keep_alive();
+    http::response<http::string_body> out;
+    out.version(http_1_1);
+    out.result(answer.status);
+    if (!answer.content_type.empty()) {
+        out.set(http::field::content_type, answer.content_type);
+    }
+    out.set(field::outcome, name_of(run_state::ran));
+    out.keep_alive(keep_caller);
+    out.body() = answer.body;
+    out.prepare_payload();
+    caller.stream.expires_after(answer_limit);
+    const auto [failed, count] = co_await http::async_write(caller.stream, out, no_throw);
+    co_return keep_caller && !failed;
+}
+
 asio::awaitable<bool> refuse(caller_side caller, error_kind kind, milliseconds retry_after)
 {
-    constexpr milliseconds answer_limit{5000};
     const auto& row = answer_of(kind);
     if (row.http_status == 0) {
         co_return false;
--- a/src/runtime/request_plane.cpp
+++ b/src/runtime/request_plane.cpp
@@ -1,5 +1,7 @@
 #include "figreach/runtime/request_plane.h"
 
+#include <random>
+#include <set>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -7,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "figreach/runtime/caller_session.h"
@@ -41,14 +44,15 @@
 class request_plane::worker {
 public:
     worker(const host_id& self, const request_plane_settings& settings, const route_board& routes,
-           const link_board& links)
+           const link_board& links, request_plane_state& state)
         : pool{io, most_idle_connections},
           home{.self = self,
                .routes = routes,
                .links = links,
                .pool = pool,
+               .plane = state,
                .snapshot = nullptr,
-               .seen_generation = 0},
+               .random_state = std::random_device{}()},
           for_callers{listen(io, settings.caller_address)},
           for_hosts{listen(io, settings.forward_address)}
     {
@@ -63,6 +67,15 @@
 
     void stop() { this->io.stop(); }
 
+    void close_idle()
+    {
+        asio::post(this->io, [this] {
+            for (auto* session : this->sessions) {
+                session->close_if_idle();
+            }
+        });
+    }
+
 private:
     asio::awaitable<void> accept(tcp::acceptor& acceptor)
     {
@@ -73,30 +86,34 @@
                 co_return;
             }
             if (!failed) {
-                asio::co_spawn(this->io, serve(this->home, std::move(socket)), asio::detached);
+                asio::co_spawn(this->io, this->serve(std::move(socket)), asio::detached);
             }
         }
     }
 
-    static asio::awaitable<void> serve(request_thread& home, tcp::socket socket)
+    asio::awaitable<void> serve(tcp::socket socket)
     {
-        caller_session session{home, std::move(socket)};
+        caller_session session{this->home, std::move(socket)};
+        this->sessions.insert(&session);
         co_await session.run();
+        this->sessions.erase(&session);
     }
 
     asio::io_context io{1};
     connection_pool pool;
     request_thread home;
+    std::set<caller_session*> sessions;
     tcp::acceptor for_callers;
     tcp::acceptor for_hosts;
 };
 
 request_plane::request_plane(const request_plane_settings& settings, const route_board& routes,
                              const link_board& links)
-    : self{settings.self}
+    : state{std::make_unique<request_plane_state>()}, self{settings.self}
 {
     for (std::uint32_t i = 0; i < settings.threads; ++i) {
-        this->workers.push_back(std::make_unique<worker>(this->self, settings, routes, links));
+        this->workers.push_back(
+            std::make_unique<worker>(this->self, settings, routes, links, *this->state));
     }
     for (auto& one : this->workers) {
         this->duties.emplace_back([&one] { one->run(); });
@@ -113,4 +130,17 @@
     }
 }
 
+void request_plane::begin_drain()
+{
+    this->state->draining = true;
+    for (auto& one : this->workers) {
+        one->close_idle();
+    }
+}
+
+std::uint64_t request_plane::in_flight() const
+{
+    return this->state->in_flight;
+}
+
 } // namespace figreach
--- a/src/runtime/server_link.cpp
+++ b/src/runtime/server_link.cpp
@@ -1,6 +1,6 @@
 #include "figreach/runtime/server_link.h"
 
-#include <optional>
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -9,20 +9,27 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "figreach/runtime/caller_watch.h"
+
 namespace figreach {
 
 namespace asio = boost::asio;
 
-/// A request that waits for its decision. Touched on its own thread only, once it is registered.
+/// A request that waits for its decision. `timer`, `decided` and `caller_left` are touched on the
+/// request's own thread only.
 struct server_link::waiter {
     explicit waiter(const asio::any_io_executor& home) : timer{home} {}
 
     asio::steady_timer timer;
     std::optional<gate_decision> decided;
+    bool caller_left = false;
 };
 
 namespace {
 
+/// Shortest time between two looks at a gate on behalf of one waiting request.
+constexpr milliseconds least_wait{1};
+
 ticket ticket_of(const gate_decision& decision)
 {
     return std::visit([](const auto& one) { return one.id; }, decision);
@@ -38,42 +45,45 @@
     return ++this->last_ticket;
 }
 
-asio::awaitable<gate_decision> server_link::admit(gate_request request)
+asio::awaitable<std::optional<gate_decision>> server_link::admit(gate_request request,
+                                                                 asio::ip::tcp::socket& caller)
 {
     const auto home = co_await asio::this_coro::executor;
-    auto self = std::make_shared<waiter>(home);
-    gate_decisions others;
+    const auto self = std::make_shared<waiter>(home);
+    gate_decisions decisions;
     {
         const std::lock_guard lock{this->guard};
-        for (auto& decision : this->gate.arrive(request, monotonic_time::clock::now())) {
-            if (ticket_of(decision) != request.id) {
-                others.push_back(decision);
-            }
-            else if (!std::holds_alternative<gate_wait>(decision)) {
+        this->waiters[request.id] = self;
+        decisions = this->gate.arrive(request, monotonic_time::clock::now());
+        // A decision made at once needs no hand-over between threads.
+        for (const auto& decision : decisions) {
+            if (ticket_of(decision) == request.id && !std::holds_alternative<gate_wait>(decision)) {
+                this->waiters.erase(request.id);
                 self->decided = decision;
             }
         }
-        if (!self->decided) {
-            this->waiters[request.id] = self;
-        }
     }
-    this->deliver(others);
-    while (!self->decided) {
-        self->timer.expires_at(request.deadline);
+    this->deliver(decisions);
+    if (self->decided) {
+        co_return self->decided;
+    }
+    const caller_watch watch{caller, [self] {
+                                 self->caller_left = true;
+                                 self->timer.cancel();
+                             }};
+    while (!self->decided && !self->caller_left) {
+        // A decision that is posted meanwhile runs on this thread, after this coroutine waits.
+        self->timer.expires_at(this->wake_time(request.deadline));
         co_await self->timer.async_wait(asio::as_tuple(asio::use_awaitable));
-        if (!self->decided && monotonic_time::clock::now() >= request.deadline) {
-            gate_decisions due;
-            {
-                const std::lock_guard lock{this->guard};
-                due = this->gate.on_tick(monotonic_time::clock::now());
-            }
-            this->deliver(due);
-            // The decision of this request arrives on this thread.
-            self->timer.expires_at(monotonic_time::max());
-            co_await self->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (!self->decided && !self->caller_left) {
+            this->tick();
         }
     }
-    co_return *self->decided;
+    if (self->caller_left) {
+        this->leave(request.id);
+        co_return std::nullopt;
+    }
+    co_return self->decided;
 }
 
 void server_link::finish(ticket id, gate_ending ending, nanoseconds latency)
@@ -91,7 +101,12 @@
     gate_decisions decisions;
     {
         const std::lock_guard lock{this->guard};
-        decisions = this->gate.set_authority(authority, monotonic_time::clock::now());
+        const auto now = monotonic_time::clock::now();
+        if (now >= this->gate.authority().until) {
+            // Another host may have coordinated the server meanwhile.
+            this->window.take_over(now);
+        }
+        decisions = this->gate.set_authority(authority, now);
     }
     this->deliver(decisions);
 }
@@ -102,9 +117,79 @@
     return monotonic_time::clock::now() < this->gate.authority().until;
 }
 
+void server_link::note_incarnation(std::uint64_t incarnation)
+{
+    const std::lock_guard lock{this->guard};
+    this->gate.note_incarnation(incarnation, monotonic_time::clock::now());
+}
+
+window_decision server_link::begin(const repeat_question& question)
+{
+    const std::lock_guard lock{this->guard};
+    const auto now = monotonic_time::clock::now();
+    if (now >= this->gate.authority().until) {
+        return window_refuse{.kind = error_kind::no_owner};
+    }
+    return this->window.begin(question, now);
+}
+
+void server_link::forget(const repeat_id& id)
+{
+    const std::lock_guard lock{this->guard};
+    this->window.forget(id);
+}
+
+void server_link::finish(const repeat_id& id, std::optional<kept_answer> answer)
+{
+    const std::lock_guard lock{this->guard};
+    this->window.finish(id, std::move(answer), monotonic_time::clock::now());
+}
+
+void server_link::lose(const repeat_id& id)
+{
+    const std::lock_guard lock{this->guard};
+    this->window.lose(id, monotonic_time::clock::now());
+}
+
+void server_link::count(key_hash first)
+{
+    const std::lock_guard lock{this->guard};
+    ++this->counts[first];
+}
+
+std::vector<slice_load> server_link::take_load(milliseconds over)
+{
+    std::map<key_hash, std::uint64_t> taken;
+    {
+        const std::lock_guard lock{this->guard};
+        taken.swap(this->counts);
+    }
+    const std::chrono::duration<double> span = std::max(over, milliseconds{1});
+    std::vector<slice_load> out;
+    out.reserve(taken.size());
+    for (const auto& [first, requests] : taken) {
+        const auto rate = static_cast<double>(requests) / span.count();
+        out.push_back({.first = first, .requests_per_second = rate});
+    }
+    return out;
+}
+
+server_link_state server_link::state() const
+{
+    const std::lock_guard lock{this->guard};
+    return {.running = this->gate.running(),
+            .waiting = this->gate.waiting(),
+            .limit = this->gate.limit(),
+            .cold = this->gate.is_cold(),
+            .latency = this->gate.recent_latency()};
+}
+
 void server_link::deliver(const gate_decisions& decisions)
 {
     for (const auto& decision : decisions) {
+        if (std::holds_alternative<gate_wait>(decision)) {
+            continue;
+        }
         std::shared_ptr<waiter> waiting;
         {
             const std::lock_guard lock{this->guard};
@@ -122,4 +207,36 @@
     }
 }
 
+monotonic_time server_link::wake_time(monotonic_time deadline) const
+{
+    const std::lock_guard lock{this->guard};
+    const auto soonest = monotonic_time::clock::now() + least_wait;
+    const auto due = this->gate.next_tick().value_or(deadline);
+    return std::max(soonest, std::min(due, deadline));
+}
+
+void server_link::tick()
+{
+    gate_decisions due;
+    {
+        const std::lock_guard lock{this->guard};
+        due = this->gate.on_tick(monotonic_time::clock::now());
+    }
+    this->deliver(due);
+}
+
+void server_link::leave(ticket id)
+{
+    gate_decisions decisions;
+    {
+        const std::lock_guard lock{this->guard};
+        this->waiters.erase(id);
+        this->gate.leave(id);
+        // Its turn may have come at this moment.
+        decisions = this->gate.finish(id, gate_ending::not_sent, nanoseconds{0},
+                                      monotonic_time::clock::now());
+    }
+    this->deliver(decisions);
+}
+
 } // namespace figreach
