--- a/src/runtime/caller_session.cpp
+++ b/src/runtime/caller_session.cpp
@@ -323,7 +323,7 @@
         if (!next) {
             co_return false;
         }
-        event = std::move(*next);
+        event = *next;
     }
 }
 
--- /dev/null
+++ b/test/runtime/plane_fixture.h
@@ -0,0 +1,195 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <sys/socket.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include "figreach/routing.h"
+#include "figreach/runtime/request_plane.h"
+
+namespace figreach {
+
+using tcp = boost::asio::ip::tcp;
+
+inline std::string local_address(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+/// A port on which nothing listens at this moment.
+inline std::uint16_t free_port()
+{
+    boost::asio::io_context io;
+    const tcp::acceptor acceptor{io, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+    return acceptor.local_endpoint().port();
+}
+
+/// Ends a test that hangs: blocking reads and writes fail after a generous time.
+inline void set_watchdog(tcp::socket& socket)
+{
+    const timeval limit{.tv_sec = 30, .tv_usec = 0};
+    setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    setsockopt(socket.native_handle(), SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+}
+
+/// A tiny upstream: one thread, one connection at a time, `serve` gets each until it returns.
+class fake_upstream {
+public:
+    using handler = std::function<void(tcp::socket&)>;
+
+    explicit fake_upstream(handler serve_)
+        : acceptor{io, {boost::asio::ip::make_address("127.0.0.1"), 0}},
+          serve{std::move(serve_)},
+          duty{[this] { this->run(); }}
+    {
+    }
+
+    ~fake_upstream()
+    {
+        this->stopping = true;
+        boost::system::error_code ignored;
+        tcp::socket wake{this->io};
+        wake.connect(this->acceptor.local_endpoint(), ignored);
+        this->duty.join();
+    }
+
+    fake_upstream(const fake_upstream&) = delete;
+    fake_upstream& operator=(const fake_upstream&) = delete;
+
+    [[nodiscard]] std::string address() const
+    {
+        return local_address(this->acceptor.local_endpoint().port());
+    }
+
+    std::atomic<std::uint64_t> requests{0};
+    std::atomic<std::uint64_t> body_bytes{0};
+
+private:
+    void run()
+    {
+        while (!this->stopping) {
+            tcp::socket socket{this->io};
+            boost::system::error_code failed;
+            this->acceptor.accept(socket, failed);
+            if (!failed && !this->stopping) {
+                set_watchdog(socket);
+                this->serve(socket);
+            }
+        }
+    }
+
+    boost::asio::io_context io;
+    tcp::acceptor acceptor;
+    handler serve;
+    std::atomic<bool> stopping{false};
+    std::thread duty;
+};
+
+/// Reads one request's head; empty when the peer closed.
+inline std::string read_head(tcp::socket& socket, std::string& rest)
+{
+    boost::system::error_code failed;
+    const auto count =
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(rest), "\r\n\r\n", failed);
+    if (failed) {
+        return {};
+    }
+    auto head = rest.substr(0, count);
+    rest.erase(0, count);
+    return head;
+}
+
+/// Reads until the peer closes.
+inline std::string read_all(tcp::socket& socket)
+{
+    std::string out;
+    boost::system::error_code failed;
+    std::vector<char> chunk(64 * 1024);
+    while (!failed) {
+        const auto count = socket.read_some(boost::asio::buffer(chunk), failed);
+        out.append(chunk.data(), count);
+    }
+    return out;
+}
+
+/// A request plane whose one service "s" has one backend server.
+class plane_fixture {
+public:
+    explicit plane_fixture(const std::string& server_address,
+                           const std::string& coordinator_address = {})
+        : caller_port{free_port()}
+    {
+        this->publish(server_address, coordinator_address);
+        this->plane = std::make_unique<request_plane>(
+            request_plane_settings{.self = {"h1"},
+                                   .caller_address = local_address(this->caller_port),
+                                   .forward_address = local_address(free_port()),
+                                   .threads = 1},
+            this->routes, this->links);
+    }
+
+    tcp::socket connect()
+    {
+        tcp::socket out{this->io};
+        out.connect({boost::asio::ip::make_address("127.0.0.1"), this->caller_port});
+        set_watchdog(out);
+        return out;
+    }
+
+    /// Sends a text on a new connection and returns all that comes until it is closed.
+    std::string ask(const std::string& text)
+    {
+        auto socket = this->connect();
+        boost::system::error_code ignored;
+        boost::asio::write(socket, boost::asio::buffer(text), ignored);
+        return read_all(socket);
+    }
+
+    route_board routes;
+    link_board links;
+    std::unique_ptr<request_plane> plane;
+
+private:
+    void publish(const std::string& server_address, const std::string& coordinator_address)
+    {
+        const service served{.name = {"s"}, .tenant = {"t"}, .default_deadline = seconds{20}};
+        const description all{
+            .version = 1,
+            .failure_domains = {{.name = {"d"}, .region = {"r"}}},
+            .tenants = {{.name = {"t"}}},
+            .services = {served},
+            .backend_servers = {{.name = {"b"}, .service = {"s"}, .failure_domain = {"d"}}}};
+        const partition whole{.id = {.service = {"s"}, .number = 0},
+                              .version = 1,
+                              .backend_servers = {{"b"}},
+                              .slices = {{.first = 0, .owner = 0, .fence = 7}}};
+        auto snapshot = std::make_shared<routing_snapshot>();
+        snapshot->shared = std::make_shared<description>(all);
+        snapshot->partitions[whole.id] = std::make_shared<partition>(whole);
+        snapshot->servers[{"b"}] = {.server = {"b"},
+                                    .address = server_address,
+                                    .coordinator = {"h1"},
+                                    .forward_address = coordinator_address,
+                                    .coordinated_here = coordinator_address.empty()};
+        this->links.update(*snapshot);
+        this->links.find({"b"})->set_authority(
+            {.until = monotonic_time::clock::now() + std::chrono::hours{1}, .incarnation = 1});
+        this->routes.publish(std::move(snapshot));
+    }
+
+    boost::asio::io_context io;
+    std::uint16_t caller_port;
+};
+
+} // namespace figreach
