Look at the route right before the first byte; tell when moving slices are idle

Cause: a request that waited in the gate kept the route of its arrival. With a backend server that does not check fences it could be sent to the former owner after the slice had moved; and the hand-over had no news of idle slices, so that it waited out the longest deadline (30 s by default) for them. Ruled out: counting by slice, since a slice may split meanwhile; uses are counted by the key's hash. A use is noted before the last look at the route, so that the control thread cannot miss it.

--- a/include/figreach/rpc/entry_host.h
+++ b/include/figreach/rpc/entry_host.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <thread>
 
@@ -48,6 +49,9 @@
     void take_events();
     void tell_peers_once();
     void report_load(monotonic_time now);
+    void report_idle_slices();
+    [[nodiscard]] std::map<backend_server_id, std::vector<key_hash>>
+    idle_slices(const partition& document) const;
     void add_metrics();
     void take(const control_event& event);
     void carry_out(const send_to_host& action);
--- a/include/figreach/runtime/caller_session.h
+++ b/include/figreach/runtime/caller_session.h
@@ -65,6 +65,7 @@
     boost::asio::awaitable<attempt_event> send_to_owner(exchange& one);
     boost::asio::awaitable<attempt_event> send_admitted(exchange& one, server_link& link,
                                                         ticket id);
+    [[nodiscard]] bool still_owned(const exchange& one);
     boost::asio::awaitable<attempt_event> forward(exchange& one);
     boost::asio::awaitable<std::unique_ptr<upstream_connection>> connect(const std::string& address,
                                                                          monotonic_time deadline);
--- a/include/figreach/runtime/server_link.h
+++ b/include/figreach/runtime/server_link.h
@@ -14,6 +14,7 @@
 #include "figreach/idempotency_window.h"
 #include "figreach/peer_message.h"
 #include "figreach/server_gate.h"
+#include "figreach/slices_in_use.h"
 
 namespace figreach {
 
@@ -52,6 +53,14 @@
     void finish(const repeat_id& id, std::optional<kept_answer> answer);
     void lose(const repeat_id& id);
 
+    /// A request for a key with this hash is about to be sent. Asked for before the last look at
+    /// the route, so that slices_idle() cannot miss it.
+    void begin_use(key_hash hash);
+    /// It is over; `ended` is false where it may still run at the server until `deadline`.
+    void end_use(key_hash hash, bool ended, monotonic_time deadline);
+    /// Whether no request for a hash from `first` to `last` runs or may run at the server.
+    [[nodiscard]] bool is_idle(key_hash first, key_hash last) const;
+
     /// Counts a request for the slice that begins at `first`.
     void count(key_hash first);
     /// Requests seen since the last call, which was `over` ago, as rates by slice.
@@ -69,6 +78,7 @@
     mutable std::mutex guard;
     server_gate gate;
     idempotency_window window{{}};
+    slices_in_use uses;
     std::map<key_hash, std::uint64_t> counts;
     ticket last_ticket = 0;
     std::unordered_map<ticket, std::shared_ptr<waiter>> waiters;
--- a/src/rpc/entry_host.cpp
+++ b/src/rpc/entry_host.cpp
@@ -163,6 +163,7 @@
             this->tell_peers_once();
             this->take(tick{});
             this->report_load(now);
+            this->report_idle_slices();
             next_tick = now + tick_interval;
         }
         this->bell.wait_until(next_tick);
@@ -208,6 +209,36 @@
     }
 }
 
+/// Tells the controller which moving slices no request of this host runs in any more.
+void entry_host::report_idle_slices()
+{
+    if (!this->published) {
+        return;
+    }
+    const auto snapshot = this->published;
+    for (const auto& [id, document] : snapshot->partitions) {
+        for (auto& [server, firsts] : this->idle_slices(*document)) {
+            this->take(slices_idle{.known = {.id = id, .version = document->version},
+                                   .server = server,
+                                   .firsts = std::move(firsts)});
+        }
+    }
+}
+
+std::map<backend_server_id, std::vector<key_hash>>
+entry_host::idle_slices(const partition& document) const
+{
+    std::map<backend_server_id, std::vector<key_hash>> out;
+    for (std::size_t i = 0; i < document.slices.size(); ++i) {
+        const auto& slice = document.slices[i];
+        const auto link = slice.moving_to ? this->links.find(owner_of(document, i)) : nullptr;
+        if (link && link->is_idle(slice.first, last_hash(document, i))) {
+            out[owner_of(document, i)].push_back(slice.first);
+        }
+    }
+    return out;
+}
+
 void entry_host::add_metrics()
 {
     const auto counter = [this](std::string name, std::string help, std::string labels,
--- a/src/runtime/caller_session.cpp
+++ b/src/runtime/caller_session.cpp
@@ -120,6 +120,23 @@
     return lost_after_send{.replayable = false};
 }
 
+/// Whether the request is known to run no longer at the server.
+bool has_ended(const relay_result& result)
+{
+    switch (result.ending) {
+    case relay_ending::answered:
+    case relay_ending::refused:
+    case relay_ending::not_sent:
+        return true;
+    case relay_ending::lost:
+    case relay_ending::cut_short:
+    case relay_ending::caller_gone:
+    case relay_ending::late:
+        return false;
+    }
+    return false;
+}
+
 /// Tells the window how a request that it let run has ended.
 void note_outcome(server_link& link, const repeat_id& id, const relay_result& result)
 {
@@ -462,14 +479,18 @@
     fields.set(field::fence, std::to_string(one.to.fence));
     fields.set(field::hash, std::to_string(one.to.hash));
     relay_order order{.fields = std::move(fields), .deadline = one.deadline};
-    order.may_send = [&link, &one] { return link.has_authority() && one.begin_sending(); };
+    order.may_send = [this, &link, &one] {
+        return this->still_owned(one) && link.has_authority() && one.begin_sending();
+    };
     order.upstream_done = [&link, id, begun] {
         link.finish(id, gate_ending::answered, monotonic_time::clock::now() - begun);
     };
     // A request that may not be repeated runs to its end, so that its outcome is known.
     order.cancel_when_caller_leaves = one.request.idempotent;
     order.keep_answer = one.windowed();
+    link.begin_use(one.to.hash);
     const auto result = co_await relay(one.caller, *connection, std::move(order));
+    link.end_use(one.to.hash, has_ended(result), one.deadline);
     link.finish(id, gate_ending_of(result), monotonic_time::clock::now() - begun);
     if (result.incarnation != 0) {
         link.note_incarnation(result.incarnation);
@@ -484,6 +505,20 @@
     co_return event_of(result, one.replayable);
 }
 
+/// The last look at the route, right before the first byte is sent: the request may have waited
+/// while its slice moved.
+bool caller_session::still_owned(const exchange& one)
+{
+    const auto& target = *one.request.target;
+    this->home.routes.refresh(this->home.snapshot, this->home.seen_generation);
+    if (!target.divided_by_key || this->home.snapshot == one.snapshot) {
+        return true;
+    }
+    const auto now = find_route(*this->home.snapshot, target, one.request.key);
+    const bool same_server = now.server != nullptr && now.server->server == one.to.server->server;
+    return same_server && now.fence == one.to.fence;
+}
+
 asio::awaitable<attempt_event> caller_session::forward(exchange& one)
 {
     const auto& address = one.to.server->forward_address;
--- a/src/runtime/server_link.cpp
+++ b/src/runtime/server_link.cpp
@@ -151,6 +151,24 @@
     this->window.lose(id, monotonic_time::clock::now());
 }
 
+void server_link::begin_use(key_hash hash)
+{
+    const std::lock_guard lock{this->guard};
+    this->uses.begin(hash, monotonic_time::clock::now());
+}
+
+void server_link::end_use(key_hash hash, bool ended, monotonic_time deadline)
+{
+    const std::lock_guard lock{this->guard};
+    this->uses.end(hash, ended, deadline);
+}
+
+bool server_link::is_idle(key_hash first, key_hash last) const
+{
+    const std::lock_guard lock{this->guard};
+    return !this->uses.in_use(first, last, monotonic_time::clock::now());
+}
+
 void server_link::count(key_hash first)
 {
     const std::lock_guard lock{this->guard};
--- /dev/null
+++ b/src/slices_in_use.cpp
@@ -0,0 +1,52 @@
+#include "figreach/slices_in_use.h"
+
+#include <algorithm>
+
+namespace figreach {
+
+void slices_in_use::begin(key_hash hash, monotonic_time now)
+{
+    this->forget_past(now);
+    ++this->uses[hash].running;
+}
+
+void slices_in_use::end(key_hash hash, bool ended, monotonic_time deadline)
+{
+    const auto found = this->uses.find(hash);
+    if (found == this->uses.end()) {
+        return;
+    }
+    auto& one = found->second;
+    --one.running;
+    if (!ended) {
+        one.may_run_until = std::max(one.may_run_until, deadline);
+        this->open_ends.push_back({.hash = hash, .until = deadline});
+    }
+    if (one.running == 0 && one.may_run_until == monotonic_time{}) {
+        this->uses.erase(found);
+    }
+}
+
+/// Deadlines come nearly in order, so that one which waits behind a later one waits briefly.
+void slices_in_use::forget_past(monotonic_time now)
+{
+    while (!this->open_ends.empty() && this->open_ends.front().until <= now) {
+        const auto found = this->uses.find(this->open_ends.front().hash);
+        const bool over = found != this->uses.end() && found->second.running == 0 &&
+                          found->second.may_run_until <= now;
+        if (over) {
+            this->uses.erase(found);
+        }
+        this->open_ends.pop_front();
+    }
+}
+
+bool slices_in_use::in_use(key_hash first, key_hash last, monotonic_time now) const
+{
+    const auto end = this->uses.upper_bound(last);
+    return std::any_of(this->uses.lower_bound(first), end, [now](const auto& item) {
+        return item.second.running > 0 || now < item.second.may_run_until;
+    });
+}
+
+} // namespace figreach
