--- a/src/ownership.cpp
+++ b/src/ownership.cpp
@@ -482,11 +482,11 @@
                          .slices = {},
                          .latency = {},
                          .busy = busy};
-        std::ranges::copy_if(state.load.slices, std::back_inserter(body.slices),
-                             [&document](const slice_load& load) {
-                                 return std::ranges::binary_search(document->slices, load.first, {},
-                                                                   &slice::first);
-                             });
+        const auto& slices = document->slices;
+        std::ranges::copy_if(
+            state.load.slices, std::back_inserter(body.slices), [&slices](const slice_load& load) {
+                return std::ranges::binary_search(slices, load.first, {}, &slice::first);
+            });
         this->send(this->assigning_host(id), std::move(body), now);
     }
 }
--- a/test/ownership_test.cpp
+++ b/test/ownership_test.cpp
@@ -268,6 +268,8 @@
 
 namespace ownership_fakes {
 
+/// Found by rapidcheck under this name.
+// NOLINTNEXTLINE(readability-identifier-naming)
 void showValue(const fault_step& step, std::ostream& out)
 {
     out << "{kind " << static_cast<int>(step.kind) << ", who " << step.who << ", at "
--- a/test/ownership_world.h
+++ b/test/ownership_world.h
@@ -140,7 +140,7 @@
     void tick_host(unsigned index);
     void gossip_from(unsigned index);
     void deliver(unsigned to, action what);
-    void carry_out(unsigned from, control_actions actions);
+    void carry_out(unsigned from, const control_actions& actions);
     void carry_out(unsigned from, const send_to_host& one);
     void carry_out(unsigned from, const call_store& one);
     void carry_out(unsigned from, const call_server& one);
@@ -347,7 +347,7 @@
     what();
 }
 
-inline void world::carry_out(unsigned from, control_actions actions)
+inline void world::carry_out(unsigned from, const control_actions& actions)
 {
     for (const auto& one : actions) {
         std::visit([this, from](const auto& what) { this->carry_out(from, what); }, one);
