--- a/src/ownership.cpp
+++ b/src/ownership.cpp
@@ -218,7 +218,8 @@
     const auto found = this->known.find(heard.id);
     const auto have = found == this->known.end() ? 0 : found->second->version;
     auto& state = this->state_of(heard.id);
-    if (heard.version <= have || now < state.next_request) {
+    const bool from_self = from == this->self.name;
+    if (from_self || heard.version <= have || now < state.next_request) {
         return;
     }
     state.next_request = now + document_request_interval;
--- a/test/ownership_world.h
+++ b/test/ownership_world.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
