assigner: balance beyond a server that cannot be improved; stop splitting one key's slice

Cause: one server with a key hotter than a fair share ended the balancing of all others, and its slice was split down to one hash although its load was one key's. Change: balance() goes on with the next fullest server; a slice that twice in a row kept 90 % of the load of the slice it was split from is taken as one key's and not split again.

--- a/bench/assignment_bench.cpp
+++ b/bench/assignment_bench.cpp
@@ -37,6 +37,7 @@
 constexpr milliseconds out_at{500'000};
 constexpr milliseconds in_at{600'000};
 constexpr milliseconds end_at{700'000};
+constexpr milliseconds long_end{7'200'000};
 
 const service_id lessons{"lessons"};
 const partition_id lessons_0{.service = lessons, .number = 0};
@@ -116,23 +117,41 @@
     {
     }
 
+    /// Load only, for a long time; the figures of its last tenth.
+    figures long_result()
+    {
+        this->eventful = false;
+        for (this->now = 0ms; this->now < long_end; this->now += step) {
+            if (this->now == long_end - long_end / 10) {
+                this->by_phase.clear();
+            }
+            this->advance();
+        }
+        return this->by_phase[""];
+    }
+
     std::map<std::string, figures> result()
     {
         for (this->now = 0ms; this->now < end_at; this->now += step) {
-            this->change_world();
-            this->complete_moves();
-            if (this->now % report_interval == 0ms) {
-                this->report();
-            }
-            if (this->now % plan_interval == 0ms) {
-                this->plan();
-            }
-            this->measure();
+            this->advance();
         }
         return this->by_phase;
     }
 
 private:
+    void advance()
+    {
+        this->change_world();
+        this->complete_moves();
+        if (this->now % report_interval == 0ms) {
+            this->report();
+        }
+        if (this->now % plan_interval == 0ms) {
+            this->plan();
+        }
+        this->measure();
+    }
+
     static assigner_settings settings_of(policy kind)
     {
         assigner_settings out;
@@ -147,11 +166,14 @@
 
     [[nodiscard]] bool is_lost(const backend_server_id& name) const
     {
-        return name == lost_server && this->now >= lost_at && this->now < back_at;
+        return this->eventful && name == lost_server && this->now >= lost_at && this->now < back_at;
     }
 
     [[nodiscard]] bool is_cold(const backend_server_id& name) const
     {
+        if (!this->eventful) {
+            return false;
+        }
         const bool server_cold =
             name == lost_server && this->now >= back_at && this->now < back_at + cold_time;
         const bool domain_cold = find_server(this->all, name)->failure_domain == out_domain &&
@@ -164,7 +186,7 @@
         if (this->now > 0ms && this->now % hot_set_interval == 0ms) {
             this->load.move_hot_set(hot_keys);
         }
-        if (this->now == out_at || this->now == in_at) {
+        if (this->eventful && (this->now == out_at || this->now == in_at)) {
             const auto state = this->now == out_at ? service_state::out : service_state::in;
             this->all.failure_domains[1].state = state;
         }
@@ -303,7 +325,7 @@
     figures& present()
     {
         for (const auto& one : phases) {
-            if (this->now >= one.begin && this->now < one.end) {
+            if (this->eventful && this->now >= one.begin && this->now < one.end) {
                 return this->by_phase[one.name];
             }
         }
@@ -311,6 +333,7 @@
     }
 
     policy kind;
+    bool eventful = true;
     bench::zipf_load load;
     std::mt19937_64 random;
     std::normal_distribution<double> normal{0.0, 1.0};
@@ -338,17 +361,44 @@
     return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
 }
 
+double share_above(const std::vector<double>& values, double limit)
+{
+    const auto count = std::ranges::count_if(values, [limit](double one) { return one > limit; });
+    return static_cast<double>(count) / static_cast<double>(values.size());
+}
+
 void print(const policy_row& row, std::map<std::string, figures>& result)
 {
     for (const auto& one : phases) {
         auto& seen = result[one.name];
-        std::printf("| %s | %s | %.2f | %.2f | %.2f | %.3f | %.3f | %.3f | %lld | %zu |\n",
+        std::printf("| %s | %s | %.2f | %.2f | %.2f | %.2f | %.3f | %.3f | %.3f | %lld | %zu |\n",
                     row.name, one.name, mean(seen.imbalance), quantile(seen.imbalance, 0.95),
-                    quantile(seen.imbalance, 1.0), seen.moved_width, seen.away, seen.doubled,
+                    quantile(seen.imbalance, 1.0), share_above(seen.imbalance, 1.25),
+                    seen.moved_width, seen.away, seen.doubled,
                     static_cast<long long>(seen.longest_away.count()), seen.slices);
     }
 }
 
+/// Whether slices and imbalance stay bounded over many changes of the hot set.
+void print_long_runs()
+{
+    std::printf("\n12 servers, Zipf exponent 1.0, load only, last tenth of %lld s\n\n",
+                static_cast<long long>(std::chrono::duration_cast<seconds>(long_end).count()));
+    std::printf(
+        "| policy | imbalance mean | p95 | share of time above 1.25 | share of keys moved | "
+        "slices |\n|---|---|---|---|---|---|\n");
+    for (const auto& row : policies) {
+        const bool plans = row.kind == policy::assigner || row.kind == policy::assigner_raising;
+        if (!plans) {
+            continue;
+        }
+        const auto seen = run{row.kind, 12, 1.0}.long_result();
+        std::printf("| %s | %.2f | %.2f | %.2f | %.3f | %zu |\n", row.name, mean(seen.imbalance),
+                    quantile(seen.imbalance, 0.95), share_above(seen.imbalance, 1.25),
+                    seen.moved_width, seen.slices);
+    }
+}
+
 } // namespace
 
 int main()
@@ -365,13 +415,15 @@
             "\n%zu servers, Zipf exponent %.1f, %zu keys, hottest key %.2f of a mean server, "
             "%zu hottest keys change each 60 s\n\n",
             one.servers, one.exponent, keys, bound, hot_keys);
-        std::printf("| policy | phase | imbalance mean | p95 | most | share of keys moved | "
+        std::printf("| policy | phase | imbalance mean | p95 | most | share of time above 1.25 | "
+                    "share of keys moved | "
                     "s away (mean request) | s with two owners | longest away ms | slices |\n");
-        std::printf("|---|---|---|---|---|---|---|---|---|---|\n");
+        std::printf("|---|---|---|---|---|---|---|---|---|---|---|\n");
         for (const auto& row : policies) {
             auto result = run{row.kind, one.servers, one.exponent}.result();
             print(row, result);
         }
     }
+    print_long_runs();
     return 0;
 }
--- a/include/figreach/assignment_draft.h
+++ b/include/figreach/assignment_draft.h
@@ -26,7 +26,8 @@
 struct draft_slice {
     double load = 0.0;
     double width = 0.0;
-    bool measured = false; ///< the load comes from reports on this very slice
+    bool measured = false;   ///< the load comes from reports on this very slice
+    bool single_key = false; ///< nearly all load is one key's: splitting is of no use
 };
 
 /// A partition document under change, with the loads that its changes lead to.
--- a/include/figreach/slice_loads.h
+++ b/include/figreach/slice_loads.h
@@ -15,9 +15,12 @@
     key_hash last = 0;
     std::uint32_t owner = 0;
     double requests_per_second = 0.0;
-    bool measured = false;        ///< false: carried over from the slices that held its keys before
-    monotonic_time since{};       ///< when the slice was first seen with this range and owner
-    monotonic_time measured_at{}; ///< arrival of the last report that counted
+    bool measured = false; ///< false: carried over from the slices that held its keys before
+    /// Splits in a row after which this slice still had nearly the whole load: a single hot key.
+    std::uint32_t concentrated_splits = 0;
+    double load_before_split = 0.0; ///< of the slice that this one was split from
+    monotonic_time since{};         ///< when the slice was first seen with this range and owner
+    monotonic_time measured_at{};   ///< arrival of the last report that counted
 };
 
 /// Load of the slices of one partition, from the reports of coordinators. A slice that was split,
@@ -46,6 +49,7 @@
 
     [[nodiscard]] slice_estimate carried(const partition& present, std::size_t index,
                                          monotonic_time now) const;
+    void inherit(slice_estimate& part) const;
     [[nodiscard]] double previous_load(key_hash first, key_hash last) const;
     void measure(slice_estimate& estimate, const received_report& report) const;
 
--- a/src/assignment_draft.cpp
+++ b/src/assignment_draft.cpp
@@ -15,6 +15,9 @@
 /// Weight of the failure domain's fullness in the choice of a target.
 constexpr double failure_domain_weight = 0.05;
 
+/// Concentrated splits in a row that show a slice's load to be one key's.
+constexpr std::uint32_t splits_to_single_key = 2;
+
 const double whole_space = std::ldexp(1.0, std::numeric_limits<key_hash>::digits);
 
 double width_share(key_hash first, key_hash last)
@@ -41,6 +44,7 @@
         out.load = (1.0 - width_part) * measured_part + width_part * out.width;
     }
     out.measured = estimate.measured;
+    out.single_key = estimate.concentrated_splits >= splits_to_single_key;
     return out;
 }
 
--- a/src/assignment_steps.cpp
+++ b/src/assignment_steps.cpp
@@ -226,7 +226,8 @@
     for (std::size_t i = 0; i < draft.document().slices.size(); ++i) {
         const auto& part = draft.shares(i);
         const bool can_split = last_hash(draft.document(), i) > draft.document().slices[i].first;
-        const bool suits = is_movable(draft, i, server) && part.measured && can_split;
+        const bool suits =
+            is_movable(draft, i, server) && part.measured && !part.single_key && can_split;
         if (suits && (!best || part.load > draft.shares(*best).load)) {
             best = i;
         }
@@ -244,6 +245,19 @@
     }
 }
 
+/// Splits the hottest slice of a server if it alone is hotter than what the server has too much.
+void split_hottest(assignment_draft& draft, std::uint32_t server, const assigner_settings& settings,
+                   std::size_t described_slices)
+{
+    const auto most = static_cast<double>(described_slices) * settings.most_slices;
+    const auto excess = draft.servers()[server].load - draft.fair_load(server);
+    const auto index = slice_to_split(draft, server);
+    const bool has_room = static_cast<double>(draft.document().slices.size()) < most;
+    if (has_room && index && draft.shares(*index).load > excess) {
+        split_evenly(draft, *index, settings.split_parts);
+    }
+}
+
 bool is_balanced(const assignment_draft& draft, std::uint32_t fullest, double most, double least)
 {
     const auto emptiest = draft.emptiest();
@@ -308,29 +322,22 @@
 double balance(assignment_draft& draft, const assigner_settings& settings, double churn,
                std::size_t described_slices)
 {
-    auto fullest = *draft.fullest();
-    if (is_balanced(draft, fullest, settings.most_imbalance, settings.least_fullness)) {
+    if (is_balanced(draft, *draft.fullest(), settings.most_imbalance, settings.least_fullness)) {
         return 0.0;
     }
     double moved = 0.0;
-    for (std::size_t i = 0;
-         i < settings.most_moves && draft.fullness(fullest) > settings.imbalance_goal; ++i) {
-        const auto width = move_load(draft, fullest, settings.imbalance_goal, churn - moved);
-        if (!width) {
+    std::set<std::uint32_t> stuck;
+    for (std::size_t i = 0; i < settings.most_moves; ++i) {
+        const auto from = fullest_donor(draft, stuck);
+        if (!from || draft.fullness(*from) <= settings.imbalance_goal) {
             break;
         }
-        moved += *width;
-        fullest = *draft.fullest();
-    }
-    const auto most = static_cast<double>(described_slices) * settings.most_slices;
-    const bool may_split = static_cast<double>(draft.document().slices.size()) < most;
-    if (draft.fullness(fullest) <= settings.imbalance_goal || !may_split) {
-        return moved;
-    }
-    const auto excess = draft.servers()[fullest].load - draft.fair_load(fullest);
-    const auto index = slice_to_split(draft, fullest);
-    if (index && draft.shares(*index).load > excess) {
-        split_evenly(draft, *index, settings.split_parts);
+        if (const auto width = move_load(draft, *from, settings.imbalance_goal, churn - moved)) {
+            moved += *width;
+            continue;
+        }
+        split_hottest(draft, *from, settings, described_slices);
+        stuck.insert(*from);
     }
     return moved;
 }
--- a/src/slice_loads.cpp
+++ b/src/slice_loads.cpp
@@ -9,6 +9,9 @@
 /// Share of a new measurement in the smoothed rate.
 constexpr double newest_share = 0.5;
 
+/// Share of the load of a split slice that makes a part of it the whole of its load.
+constexpr double whole_load = 0.9;
+
 double width(key_hash first, key_hash last)
 {
     return static_cast<double>(last - first) + 1.0;
@@ -76,10 +79,23 @@
     if (!this->estimates.empty()) {
         fresh.since = now;
         fresh.requests_per_second = this->previous_load(one.first, last);
+        this->inherit(fresh);
     }
     return fresh;
 }
 
+void slice_loads::inherit(slice_estimate& part) const
+{
+    auto parent = std::ranges::upper_bound(this->estimates, part.first, {}, &slice_estimate::first);
+    --parent;
+    if (parent->last < part.last) {
+        return;
+    }
+    const bool is_split = parent->first != part.first || parent->last != part.last;
+    part.load_before_split = is_split ? parent->requests_per_second : parent->load_before_split;
+    part.concentrated_splits = parent->concentrated_splits;
+}
+
 double slice_loads::previous_load(key_hash first, key_hash last) const
 {
     double load = 0.0;
@@ -104,6 +120,11 @@
     const auto rate = found == report.rates.end() ? 0.0 : found->second;
     const auto old = estimate.requests_per_second;
     estimate.requests_per_second = estimate.measured ? old + newest_share * (rate - old) : rate;
+    if (!estimate.measured && estimate.load_before_split > 0.0) {
+        const bool has_all = rate >= whole_load * estimate.load_before_split;
+        estimate.concentrated_splits = has_all ? estimate.concentrated_splits + 1 : 0;
+        estimate.load_before_split = 0.0;
+    }
     estimate.measured = true;
     estimate.measured_at = report.at;
 }
