--- a/bench/assignment_bench.cpp
+++ b/bench/assignment_bench.cpp
@@ -207,6 +207,7 @@
 
     void report()
     {
+        this->refresh_rates();
         std::map<backend_server_id, load_report> reports;
         for (const auto& name : this->document.backend_servers) {
             auto& one = reports[name];
@@ -221,7 +222,7 @@
         }
         for (std::size_t i = 0; i < this->document.slices.size(); ++i) {
             const auto first = this->document.slices[i].first;
-            const auto rate = this->load.of_range(first, last_hash(this->document, i));
+            const auto rate = this->rates[i];
             const auto noise = std::sqrt(rate) * this->normal(this->random);
             reports[owner_of(this->document, i)].slices.push_back(
                 {.first = first, .requests_per_second = std::max(0.0, rate + noise)});
@@ -248,6 +249,7 @@
             return;
         }
         this->document = std::move(*next);
+        this->rates.clear();
         for (std::size_t i = 0; i < this->document.slices.size(); ++i) {
             const auto& one = this->document.slices[i];
             if (one.moving_to && !this->moving_until.contains(one.first)) {
@@ -286,8 +288,23 @@
         }
     }
 
+    /// Loads of the slices, taken anew only when slices or load have changed.
+    void refresh_rates()
+    {
+        const bool hot_set_moved = this->now % hot_set_interval == 0ms;
+        if (!hot_set_moved && this->rates.size() == this->document.slices.size()) {
+            return;
+        }
+        this->rates.clear();
+        for (std::size_t i = 0; i < this->document.slices.size(); ++i) {
+            const auto first = this->document.slices[i].first;
+            this->rates.push_back(this->load.of_range(first, last_hash(this->document, i)));
+        }
+    }
+
     void measure()
     {
+        this->refresh_rates();
         std::map<backend_server_id, double> loads;
         for (const auto& server : this->all.backend_servers) {
             if (receives_work(this->all, server) && !this->is_lost(server.name)) {
@@ -300,7 +317,7 @@
         bool any_away = false;
         for (std::size_t i = 0; i < this->document.slices.size(); ++i) {
             const auto& one = this->document.slices[i];
-            const auto rate = this->load.of_range(one.first, last_hash(this->document, i));
+            const auto rate = this->rates[i];
             const auto& owner = owner_of(this->document, i);
             if (one.moving_to || this->is_lost(owner)) {
                 out.away += rate / request_rate * seconds_of_step;
@@ -342,6 +359,7 @@
     assigner planner;
     milliseconds now{0};
     milliseconds away_for{0};
+    std::vector<double> rates;
     std::map<key_hash, milliseconds> moving_until;
     std::map<std::string, figures> by_phase;
 };
--- a/include/figreach/membership.h
+++ b/include/figreach/membership.h
@@ -55,6 +55,9 @@
     /// Every host that is known, in any state, this one first.
     [[nodiscard]] std::vector<host_state> known_hosts() const;
 
+    /// Takes host states from a list, such as the platform's, without passing them on.
+    void add_known(const std::vector<host_state>& listed, monotonic_time now);
+
     /// From now on this host tells that it leaves. It still answers.
     void leave();
 
@@ -81,6 +84,9 @@
         monotonic_time sent_at{};
     };
 
+    /// Whether a state that was learned goes into the gossip.
+    enum class spread : std::uint8_t { no, yes };
+
     using messages = std::vector<send_to_host>;
 
     void detect_pause(monotonic_time now);
@@ -113,7 +119,7 @@
     void on_answer(const probe_answer& received, const gossip& news, messages& out);
     void relay(const host_id& sender, const probe& received, const gossip& news, monotonic_time now,
                messages& out);
-    void learn(const host_state& state, monotonic_time now);
+    void learn(const host_state& state, monotonic_time now, spread onward = spread::yes);
     void refute(const host_state& state);
     void queue(member& changed);
 
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -60,8 +60,10 @@
         this->on_probe(message.sender, *asked, news, now, out);
     }
     if (const auto* answer = std::get_if<probe_answer>(&message.body)) {
+        // Others know what the list of all states says: it is not passed on.
+        const bool is_whole_list = answer->sequence == this->sync_sequence;
         for (const auto& state : answer->news.hosts) {
-            this->learn(state, now);
+            this->learn(state, now, is_whole_list ? spread::no : spread::yes);
         }
         this->on_answer(*answer, news, out);
     }
@@ -97,6 +99,13 @@
     return out;
 }
 
+void membership::add_known(const std::vector<host_state>& listed, monotonic_time now)
+{
+    for (const auto& state : listed) {
+        this->learn(state, now, spread::no);
+    }
+}
+
 void membership::leave()
 {
     this->leaving = true;
@@ -401,7 +410,7 @@
     out.push_back({.address = address, .body = std::move(message)});
 }
 
-void membership::learn(const host_state& state, monotonic_time now)
+void membership::learn(const host_state& state, monotonic_time now, spread onward)
 {
     if (state.host == this->self.name) {
         this->refute(state);
@@ -418,7 +427,8 @@
                            state.description_version > present.description_version;
         if (newer) {
             present.description_version = state.description_version;
-            if (this->members.size() < this->settings.most_hosts_with_versions) {
+            if (onward == spread::yes &&
+                this->members.size() < this->settings.most_hosts_with_versions) {
                 this->queue(found->second);
             }
         }
@@ -444,7 +454,9 @@
         this->probe_order.insert(this->probe_order.begin() + static_cast<std::ptrdiff_t>(place),
                                  state.host);
     }
-    this->queue(one);
+    if (onward == spread::yes) {
+        this->queue(one);
+    }
 }
 
 void membership::refute(const host_state& state)
