--- /dev/null
+++ b/bench/linear_fit.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+namespace figreach::bench {
+
+struct point {
+    double size = 0.0;
+    double value = 0.0;
+};
+
+/// Least-squares line through measured points.
+struct linear_fit {
+    double at_zero = 0.0;
+    double slope = 0.0;
+    double largest_error = 0.0; ///< largest distance of a point from the line over its value
+};
+
+inline linear_fit fit_line(const std::vector<point>& points)
+{
+    double mean_size = 0.0;
+    double mean_value = 0.0;
+    const auto count = static_cast<double>(points.size());
+    for (const auto& one : points) {
+        mean_size += one.size / count;
+        mean_value += one.value / count;
+    }
+    double covariance = 0.0;
+    double variance = 0.0;
+    for (const auto& one : points) {
+        covariance += (one.size - mean_size) * (one.value - mean_value);
+        variance += (one.size - mean_size) * (one.size - mean_size);
+    }
+    linear_fit out;
+    out.slope = covariance / variance;
+    out.at_zero = mean_value - out.slope * mean_size;
+    for (const auto& one : points) {
+        const auto error = std::abs(out.at_zero + out.slope * one.size - one.value) / one.value;
+        out.largest_error = std::max(out.largest_error, error);
+    }
+    return out;
+}
+
+inline void print_fit(const std::string& what, const std::vector<point>& points)
+{
+    const auto line = fit_line(points);
+    constexpr double percent = 100.0;
+    std::printf("fit: %s = %.4g + %.4g x size, largest error %.0f %%\n", what.c_str(), line.at_zero,
+                line.slope, percent * line.largest_error);
+}
+
+} // namespace figreach::bench
