membership: own state and unchanged news only now and then; fit lines by relative error

Cause: each message carried the host's own state and eight unchanged news entries. Change: own state for a while after a change, to hosts that may not know it, and in each eighth message; one unchanged partition version and one hint in turn.

--- a/bench/linear_fit.h
+++ b/bench/linear_fit.h
@@ -13,7 +13,7 @@
     double value = 0.0;
 };
 
-/// Least-squares line through measured points.
+/// Line through measured points with the least squares of the relative errors.
 struct linear_fit {
     double at_zero = 0.0;
     double slope = 0.0;
@@ -22,18 +22,23 @@
 
 inline linear_fit fit_line(const std::vector<point>& points)
 {
+    double total_weight = 0.0;
     double mean_size = 0.0;
     double mean_value = 0.0;
-    const auto count = static_cast<double>(points.size());
     for (const auto& one : points) {
-        mean_size += one.size / count;
-        mean_value += one.value / count;
+        const auto weight = 1.0 / (one.value * one.value);
+        total_weight += weight;
+        mean_size += weight * one.size;
+        mean_value += weight * one.value;
     }
+    mean_size /= total_weight;
+    mean_value /= total_weight;
     double covariance = 0.0;
     double variance = 0.0;
     for (const auto& one : points) {
-        covariance += (one.size - mean_size) * (one.value - mean_value);
-        variance += (one.size - mean_size) * (one.size - mean_size);
+        const auto weight = 1.0 / (one.value * one.value);
+        covariance += weight * (one.size - mean_size) * (one.value - mean_value);
+        variance += weight * (one.size - mean_size) * (one.size - mean_size);
     }
     linear_fit out;
     out.slope = covariance / variance;
--- a/include/figreach/membership.h
+++ b/include/figreach/membership.h
@@ -27,7 +27,8 @@
     std::chrono::hours forget_after{2};  ///< dead hosts are kept for this long
     std::uint32_t indirect_probes = 3;   ///< hosts asked to probe a silent one, or told a death
     std::uint32_t retransmit_factor = 3; ///< times log2 of the fleet: sends of one change
-    std::size_t most_hosts = 6;          ///< host states in one message, own one not counted
+    std::uint64_t messages_per_own_state = 8; ///< a host's own unchanged state goes into each
+    std::size_t most_hosts = 6;               ///< host states in one message, own one not counted
     /// Up to this number of hosts, the description version in force at a host is passed on like a
     /// change of its state; in a larger fleet only the host itself tells it.
     std::size_t most_hosts_with_versions = 64;
@@ -124,6 +125,8 @@
     void queue(member& changed);
 
     [[nodiscard]] gossip compose(const gossip& news, const host_id& receiver);
+    /// Whether the next message should carry this host's own state; counts the message.
+    [[nodiscard]] bool own_state_is_due(const gossip& news);
     [[nodiscard]] gossip compose_all(const gossip& news);
     void add_changes(gossip& out, const host_id& receiver);
     [[nodiscard]] host_state own_state(const gossip& news) const;
@@ -154,6 +157,9 @@
     bool sync_wanted = false; ///< a host came back from the dead
     bool synced_once = false;
     std::uint64_t description_version = 0;
+    host_state told_state; ///< own state as it was told last
+    std::uint32_t own_sends_left = 0;
+    std::uint64_t composed = 0;
     std::uint64_t sequence = 0;
 };
 
--- a/include/figreach/news_selector.h
+++ b/include/figreach/news_selector.h
@@ -16,7 +16,7 @@
 };
 
 /// Chooses which partition versions and coordinator hints go into a message: those that changed
-/// lately first, then the others in turn, so that each is told now and then.
+/// lately, and one other in turn, so that each is told now and then.
 class news_selector {
 public:
     explicit news_selector(news_settings settings);
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -478,13 +478,32 @@
 
 gossip membership::compose(const gossip& news, const host_id& receiver)
 {
-    this->description_version = news.description_version;
     auto out = this->selector.select(news);
-    out.hosts.push_back(this->own_state(news));
+    const auto* told = this->find(receiver);
+    const bool knows_sender = told != nullptr && told->state.state == host_liveness::alive;
+    if (this->own_state_is_due(news) || !knows_sender) {
+        out.hosts.push_back(this->own_state(news));
+    }
     this->add_changes(out, receiver);
     return out;
 }
 
+bool membership::own_state_is_due(const gossip& news)
+{
+    const auto present = this->own_state(news);
+    this->description_version = news.description_version;
+    if (present != this->told_state) {
+        this->told_state = present;
+        this->own_sends_left = this->settings.retransmit_factor * this->log_of_fleet();
+    }
+    ++this->composed;
+    if (this->own_sends_left > 0) {
+        --this->own_sends_left;
+        return true;
+    }
+    return this->composed % this->settings.messages_per_own_state == 0;
+}
+
 gossip membership::compose_all(const gossip& news)
 {
     auto out = this->selector.select(news);
--- a/src/news_selector.cpp
+++ b/src/news_selector.cpp
@@ -46,17 +46,13 @@
 std::vector<Entry> choose(Told& told, const std::vector<Entry>& all, std::size_t& next,
                           std::size_t most, std::uint32_t sends)
 {
-    if (all.size() <= most) {
-        return all;
-    }
     std::vector<Entry> out;
-    const auto reserved_for_turns = most / 2;
     for (const auto& entry : all) {
-        if (out.size() < most - reserved_for_turns && take_change(told, entry, sends)) {
+        if (out.size() < most && take_change(told, entry, sends)) {
             out.push_back(entry);
         }
     }
-    while (out.size() < most) {
+    if (!all.empty() && out.size() < most) {
         next = (next + 1) % all.size();
         out.push_back(all[next]);
     }
