assigner: do not split while the churn budget is spent; churn budget 10 % in 10 s

Cause: when the budget was spent, the hottest slice was split although it could be moved later, and the document grew; a budget of 5 % in 10 s let a changed hot set stay unbalanced longer.

--- a/bench/control_bench.cpp
+++ b/bench/control_bench.cpp
@@ -230,6 +230,7 @@
         report.slices.push_back({.first = one.first, .requests_per_second = 100.0});
     }
     std::vector<load_report> out;
+    out.reserve(by_owner.size());
     for (auto& [owner, report] : by_owner) {
         out.push_back(std::move(report));
     }
--- a/include/figreach/assigner.h
+++ b/include/figreach/assigner.h
@@ -27,7 +27,7 @@
     double most_imbalance = 1.25;       ///< busiest server over mean that is left alone
     milliseconds report_lifetime{5000}; ///< older load reports do not count
     milliseconds churn_window{10000};
-    double most_churn = 0.05;    ///< share of the hash space moved for load in a window
+    double most_churn = 0.1;     ///< share of the hash space moved for load in a window
     double imbalance_goal = 1.1; ///< balancing goes on until no server is fuller than this
     double least_fullness = 0.5; ///< an emptier server is filled, for instance after a cold start
     double cold_capacity = 0.25; ///< of a server's capacity, while it is cold
--- a/src/assignment_steps.cpp
+++ b/src/assignment_steps.cpp
@@ -16,6 +16,9 @@
 /// Share of its fair load up to which a server without slices is filled at once.
 constexpr double full_enough = 0.97;
 
+/// Width of the whole hash space.
+constexpr double whole_space = 1.0;
+
 bool is_moving(const slice& one)
 {
     return one.moving_to.has_value();
@@ -201,9 +204,14 @@
     }
 }
 
-/// One attempt to move load; the width that moved, or nothing.
-std::optional<double> move_load(assignment_draft& draft, std::uint32_t from, double goal,
-                                double churn)
+struct load_move {
+    std::size_t slice = 0;
+    std::uint32_t to = 0;
+};
+
+/// The hottest slice of a server, within a width, that helps it without filling another too much.
+std::optional<load_move> find_load_move(const assignment_draft& draft, std::uint32_t from,
+                                        double goal, double most_width)
 {
     const auto to = draft.emptiest();
     if (!to || *to == from) {
@@ -211,12 +219,11 @@
     }
     const auto excess = draft.servers()[from].load - draft.fair_load(from);
     const auto room = draft.fair_load(*to) * goal - draft.servers()[*to].load;
-    const auto index = hottest_fitting(draft, from, std::min(excess, room), churn);
+    const auto index = hottest_fitting(draft, from, std::min(excess, room), most_width);
     if (!index) {
         return std::nullopt;
     }
-    draft.move(*index, *to);
-    return draft.shares(*index).width;
+    return load_move{.slice = *index, .to = *to};
 }
 
 /// The hottest measured slice of a server that is too hot to be moved and wide enough to split.
@@ -332,11 +339,16 @@
         if (!from || draft.fullness(*from) <= settings.imbalance_goal) {
             break;
         }
-        if (const auto width = move_load(draft, *from, settings.imbalance_goal, churn - moved)) {
-            moved += *width;
+        const auto goal = settings.imbalance_goal;
+        if (const auto next = find_load_move(draft, *from, goal, churn - moved)) {
+            draft.move(next->slice, next->to);
+            moved += draft.shares(next->slice).width;
             continue;
         }
-        split_hottest(draft, *from, settings, described_slices);
+        const bool waits_for_budget = find_load_move(draft, *from, goal, whole_space).has_value();
+        if (!waits_for_budget) {
+            split_hottest(draft, *from, settings, described_slices);
+        }
         stuck.insert(*from);
     }
     return moved;
