--- a/include/figreach/membership.h
+++ b/include/figreach/membership.h
@@ -27,7 +27,8 @@
     std::chrono::hours forget_after{2};  ///< dead hosts are kept for this long
     std::uint32_t indirect_probes = 3;   ///< hosts asked to probe a silent one, or told a death
     std::uint32_t retransmit_factor = 3; ///< times log2 of the fleet: sends of one change
-    std::size_t most_hosts = 6;          ///< host states in one message, own one not counted
+    std::uint64_t messages_per_own_state = 8; ///< a host's own unchanged state goes into each
+    std::size_t most_hosts = 6;               ///< host states in one message, own one not counted
     /// Up to this number of hosts, the description version in force at a host is passed on like a
     /// change of its state; in a larger fleet only the host itself tells it.
     std::size_t most_hosts_with_versions = 64;
@@ -55,6 +56,9 @@
     /// Every host that is known, in any state, this one first.
     [[nodiscard]] std::vector<host_state> known_hosts() const;
 
+    /// Takes host states from a list, such as the platform's, without passing them on.
+    void add_known(const std::vector<host_state>& listed, monotonic_time now);
+
     /// From now on this host tells that it leaves. It still answers.
     void leave();
 
@@ -81,6 +85,9 @@
         monotonic_time sent_at{};
     };
 
+    /// Whether a state that was learned goes into the gossip.
+    enum class spread : std::uint8_t { no, yes };
+
     using messages = std::vector<send_to_host>;
 
     void detect_pause(monotonic_time now);
@@ -113,11 +120,13 @@
     void on_answer(const probe_answer& received, const gossip& news, messages& out);
     void relay(const host_id& sender, const probe& received, const gossip& news, monotonic_time now,
                messages& out);
-    void learn(const host_state& state, monotonic_time now);
+    void learn(const host_state& state, monotonic_time now, spread onward = spread::yes);
     void refute(const host_state& state);
     void queue(member& changed);
 
     [[nodiscard]] gossip compose(const gossip& news, const host_id& receiver);
+    /// Whether the next message should carry this host's own state; counts the message.
+    [[nodiscard]] bool own_state_is_due(const gossip& news);
     [[nodiscard]] gossip compose_all(const gossip& news);
     void add_changes(gossip& out, const host_id& receiver);
     [[nodiscard]] host_state own_state(const gossip& news) const;
@@ -148,6 +157,9 @@
     bool sync_wanted = false; ///< a host came back from the dead
     bool synced_once = false;
     std::uint64_t description_version = 0;
+    host_state told_state; ///< own state as it was told last
+    std::uint32_t own_sends_left = 0;
+    std::uint64_t composed = 0;
     std::uint64_t sequence = 0;
 };
 
--- a/src/assignment_steps.cpp
+++ b/src/assignment_steps.cpp
@@ -16,6 +16,9 @@
 /// Share of its fair load up to which a server without slices is filled at once.
 constexpr double full_enough = 0.97;
 
+/// Width of the whole hash space.
+constexpr double whole_space = 1.0;
+
 bool is_moving(const slice& one)
 {
     return one.moving_to.has_value();
@@ -201,9 +204,14 @@
     }
 }
 
-/// One attempt to move load; the width that moved, or nothing.
-std::optional<double> move_load(assignment_draft& draft, std::uint32_t from, double goal,
-                                double churn)
+struct load_move {
+    std::size_t slice = 0;
+    std::uint32_t to = 0;
+};
+
+/// The hottest slice of a server, within a width, that helps it without filling another too much.
+std::optional<load_move> find_load_move(const assignment_draft& draft, std::uint32_t from,
+                                        double goal, double most_width)
 {
     const auto to = draft.emptiest();
     if (!to || *to == from) {
@@ -211,12 +219,11 @@
     }
     const auto excess = draft.servers()[from].load - draft.fair_load(from);
     const auto room = draft.fair_load(*to) * goal - draft.servers()[*to].load;
-    const auto index = hottest_fitting(draft, from, std::min(excess, room), churn);
+    const auto index = hottest_fitting(draft, from, std::min(excess, room), most_width);
     if (!index) {
         return std::nullopt;
     }
-    draft.move(*index, *to);
-    return draft.shares(*index).width;
+    return load_move{.slice = *index, .to = *to};
 }
 
 /// The hottest measured slice of a server that is too hot to be moved and wide enough to split.
@@ -226,7 +233,8 @@
     for (std::size_t i = 0; i < draft.document().slices.size(); ++i) {
         const auto& part = draft.shares(i);
         const bool can_split = last_hash(draft.document(), i) > draft.document().slices[i].first;
-        const bool suits = is_movable(draft, i, server) && part.measured && can_split;
+        const bool suits =
+            is_movable(draft, i, server) && part.measured && !part.single_key && can_split;
         if (suits && (!best || part.load > draft.shares(*best).load)) {
             best = i;
         }
@@ -244,6 +252,19 @@
     }
 }
 
+/// Splits the hottest slice of a server if it alone is hotter than what the server has too much.
+void split_hottest(assignment_draft& draft, std::uint32_t server, const assigner_settings& settings,
+                   std::size_t described_slices)
+{
+    const auto most = static_cast<double>(described_slices) * settings.most_slices;
+    const auto excess = draft.servers()[server].load - draft.fair_load(server);
+    const auto index = slice_to_split(draft, server);
+    const bool has_room = static_cast<double>(draft.document().slices.size()) < most;
+    if (has_room && index && draft.shares(*index).load > excess) {
+        split_evenly(draft, *index, settings.split_parts);
+    }
+}
+
 bool is_balanced(const assignment_draft& draft, std::uint32_t fullest, double most, double least)
 {
     const auto emptiest = draft.emptiest();
@@ -308,29 +329,27 @@
 double balance(assignment_draft& draft, const assigner_settings& settings, double churn,
                std::size_t described_slices)
 {
-    auto fullest = *draft.fullest();
-    if (is_balanced(draft, fullest, settings.most_imbalance, settings.least_fullness)) {
+    if (is_balanced(draft, *draft.fullest(), settings.most_imbalance, settings.least_fullness)) {
         return 0.0;
     }
     double moved = 0.0;
-    for (std::size_t i = 0;
-         i < settings.most_moves && draft.fullness(fullest) > settings.imbalance_goal; ++i) {
-        const auto width = move_load(draft, fullest, settings.imbalance_goal, churn - moved);
-        if (!width) {
+    std::set<std::uint32_t> stuck;
+    for (std::size_t i = 0; i < settings.most_moves; ++i) {
+        const auto from = fullest_donor(draft, stuck);
+        if (!from || draft.fullness(*from) <= settings.imbalance_goal) {
             break;
         }
-        moved += *width;
-        fullest = *draft.fullest();
-    }
-    const auto most = static_cast<double>(described_slices) * settings.most_slices;
-    const bool may_split = static_cast<double>(draft.document().slices.size()) < most;
-    if (draft.fullness(fullest) <= settings.imbalance_goal || !may_split) {
-        return moved;
-    }
-    const auto excess = draft.servers()[fullest].load - draft.fair_load(fullest);
-    const auto index = slice_to_split(draft, fullest);
-    if (index && draft.shares(*index).load > excess) {
-        split_evenly(draft, *index, settings.split_parts);
+        const auto goal = settings.imbalance_goal;
+        if (const auto next = find_load_move(draft, *from, goal, churn - moved)) {
+            draft.move(next->slice, next->to);
+            moved += draft.shares(next->slice).width;
+            continue;
+        }
+        const bool waits_for_budget = find_load_move(draft, *from, goal, whole_space).has_value();
+        if (!waits_for_budget) {
+            split_hottest(draft, *from, settings, described_slices);
+        }
+        stuck.insert(*from);
     }
     return moved;
 }
