--- a/src/configuration_change.cpp
+++ b/src/configuration_change.cpp
@@ -30,6 +30,8 @@
     "The store's answer was lost. The change may be in force now or later; read the history "
     "before it is repeated.";
 
+constexpr auto unreadable_text = "The name or the reason is no valid UTF-8; nothing was written.";
+
 constexpr auto damaged_text =
     "The history in the store is damaged; the last good version stays in force.";
 
@@ -61,6 +63,15 @@
             .allowed = joined_names(items)};
 }
 
+fault too_large(std::size_t bytes)
+{
+    return {.file = submitted_file,
+            .line = 0,
+            .key = "(whole)",
+            .found = std::to_string(bytes) + " bytes",
+            .allowed = "at most " + std::to_string(most_history_bytes) + " bytes"};
+}
+
 template <class Item>
 std::optional<service_state> state_of(const Item* item)
 {
@@ -246,14 +257,12 @@
     auto encoded = encode(history);
     if (encoded.size() > most_history_bytes) {
         auto out = this->answer(change_outcome::invalid, "");
-        out.faults.push_back(
-            {.file = submitted_file,
-             .line = 0,
-             .key = "(whole)",
-             .found = std::to_string(encoded.size()) + " bytes",
-             .allowed = "at most " + std::to_string(most_history_bytes) + " bytes"});
+        out.faults.push_back(too_large(encoded.size()));
         return out;
     }
+    if (!decode_history(encoded)) {
+        return this->answer(change_outcome::not_accepted, unreadable_text);
+    }
     this->proposal = std::move(encoded);
     this->proposed_version = version;
     return this->write(now);
--- a/src/programs/figreachd/main.cpp
+++ b/src/programs/figreachd/main.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
+#include <google/protobuf/stubs/logging.h>
 
 #include "figreach/host_settings.h"
 #include "figreach/rpc/entry_host.h"
@@ -110,6 +111,8 @@
 int serve(const figreach::host_settings& settings)
 {
     figreach::start_log(settings.log_level, settings.log_file);
+    // Malformed messages are counted where they are decoded; protobuf would write a line for each.
+    google::protobuf::SetLogHandler(nullptr);
     figreach::entry_host host{settings};
     const figreach::operator_server operators{operator_settings_of(settings), host.routing(),
                                               hooks_of(host)};
--- a/src/rpc/operator_server.cpp
+++ b/src/rpc/operator_server.cpp
@@ -356,11 +356,20 @@
         return find_version(history, version == 0 ? version_in_force(history) : version);
     }
 
+    /// The routes in force. What other hosts have in force is hearsay, what this one has is not.
     [[nodiscard]] std::shared_ptr<const routing_snapshot> routing() const
     {
-        std::shared_ptr<const routing_snapshot> out;
+        std::shared_ptr<const routing_snapshot> present;
         std::uint64_t seen = 0;
-        this->routes.refresh(out, seen);
+        this->routes.refresh(present, seen);
+        if (!present || !present->shared) {
+            return present;
+        }
+        auto out = std::make_shared<routing_snapshot>(*present);
+        for (auto& host : out->hosts) {
+            const bool self = host.host == this->settings.host;
+            host.description_version = self ? present->shared->version : host.description_version;
+        }
         return out;
     }
 
--- a/test/configuration_change_test.cpp
+++ b/test/configuration_change_test.cpp
@@ -253,3 +253,21 @@
     const auto step = forced.on_answer(store_read{{stored(base, 7)}}, {});
     CHECK(std::holds_alternative<compare_and_swap>(std::get<change_call>(step).call));
 }
+
+TEST(configuration_change_test, never_writes_a_history_that_cannot_be_read)
+{
+    auto request = request_for(replace_description{changed_text("7"), 1});
+    request.reason = "\xff";
+    const auto answer = answer_after_read(request, stored(base, 7));
+    CHECK(answer.outcome == change_outcome::not_accepted);
+    STRCMP_CONTAINS("UTF-8", answer.detail.c_str());
+}
+
+TEST(configuration_change_test, a_description_that_the_store_cannot_hold_is_a_fault)
+{
+    const auto large = sample_description() + "#" + std::string(most_history_bytes, 'x') + "\n";
+    const auto answer =
+        answer_after_read(request_for(replace_description{large, 1}), stored(base, 7));
+    CHECK(answer.outcome == change_outcome::invalid);
+    STRCMP_EQUAL("at most 900000 bytes", answer.faults.at(0).allowed.c_str());
+}
