--- a/include/figreach/configuration_change.h
+++ b/include/figreach/configuration_change.h
@@ -33,8 +33,7 @@
     [[nodiscard]] change_step read(monotonic_time not_before) const;
     [[nodiscard]] change_step write(monotonic_time now) const;
     [[nodiscard]] change_step plan(const stored_value& present, monotonic_time now);
-    [[nodiscard]] change_step check(const description_record& in_force, std::string toml,
-                                    monotonic_time now);
+    [[nodiscard]] change_step check(std::string toml, monotonic_time now);
     [[nodiscard]] change_step propose(std::string toml, monotonic_time now);
     [[nodiscard]] change_step resolve(const stored_value& present, monotonic_time now);
     [[nodiscard]] change_step superseded(const stored_value& present, monotonic_time now);
@@ -42,8 +41,9 @@
     [[nodiscard]] change_step edit(const replace_description& what, monotonic_time now);
     [[nodiscard]] change_step edit(const set_domain_state& what, monotonic_time now);
     [[nodiscard]] change_step edit(const set_server_state& what, monotonic_time now);
-    [[nodiscard]] change_step edit_state(const std::string& list, const std::string& name,
-                                         std::optional<service_state> present, service_state wanted,
+    [[nodiscard]] change_step unknown_item(fault what) const;
+    template <class Item>
+    [[nodiscard]] change_step edit_state(const char* list, const Item& item, service_state wanted,
                                          monotonic_time now);
 
     [[nodiscard]] change_answer answer(change_outcome outcome, std::string detail) const;
@@ -52,6 +52,7 @@
     change_request request;
     stored_value base;         ///< the history that the change builds on
     description_history known; ///< decoded from base
+    description in_force;      ///< parsed from the newest record of known
     std::string proposal;      ///< encoded history with the change; empty: nothing written yet
     std::uint64_t proposed_version = 0;
     std::vector<std::string> changes;
--- a/src/programs/figreachctl/version_line.h
+++ b/include/figreach/version_line.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string>
 
-namespace figreachctl {
+namespace figreach {
 
 /// The line that `get` writes above a description, so that `apply` knows what it was made from.
 [[nodiscard]] std::string version_line(std::uint64_t version);
@@ -12,4 +12,4 @@
 [[nodiscard]] std::optional<std::uint64_t> read_version_line(const std::string& text);
 [[nodiscard]] std::string without_version_line(const std::string& text);
 
-} // namespace figreachctl
+} // namespace figreach
--- a/src/configuration_change.cpp
+++ b/src/configuration_change.cpp
@@ -20,6 +20,12 @@
 /// Name of a submitted description in faults.
 constexpr auto submitted_file = "description";
 
+constexpr auto domain_list = "failure_domain";
+constexpr auto server_list = "backend_server";
+
+constexpr auto not_editable_text =
+    "The text of the description cannot be edited in place; change the state with apply.";
+
 constexpr auto store_down_text =
     "The platform's store does not answer and nothing was written. A change that the store has "
     "not taken could be lost with the hosts that know it, so figreach accepts none meanwhile. "
@@ -72,12 +78,6 @@
             .allowed = "at most " + std::to_string(most_history_bytes) + " bytes"};
 }
 
-template <class Item>
-std::optional<service_state> state_of(const Item* item)
-{
-    return item == nullptr ? std::nullopt : std::optional{item->state};
-}
-
 stored_value first_value(const store_read& answer)
 {
     return answer.values.empty() ? stored_value{} : answer.values.front();
@@ -163,6 +163,7 @@
     }
     this->base = present;
     this->known = std::move(*history);
+    this->in_force = this->known.empty() ? description{} : parse(this->known.back()).value;
     return std::visit([this, now](const auto& what) { return this->edit(what, now); },
                       this->request.edit);
 }
@@ -172,62 +173,57 @@
     if (version_in_force(this->known) != what.based_on) {
         return this->conflict(what.based_on);
     }
-    const auto* in_force = find_version(this->known, what.based_on);
-    return this->check(in_force == nullptr ? description_record{} : *in_force, what.toml, now);
+    return this->check(what.toml, now);
 }
 
 change_step configuration_change::edit(const set_domain_state& what, monotonic_time now)
 {
-    if (this->known.empty()) {
-        return this->edit_state("failure_domain", what.name.value, {}, what.state, now);
+    const auto* item = find_failure_domain(this->in_force, what.name);
+    if (item == nullptr) {
+        return this->unknown_item(
+            unknown_name(domain_list, what.name.value, this->in_force.failure_domains));
     }
-    const auto present = parse(this->known.back()).value;
-    return this->edit_state("failure_domain", what.name.value,
-                            state_of(find_failure_domain(present, what.name)), what.state, now);
+    return this->edit_state(domain_list, *item, what.state, now);
 }
 
 change_step configuration_change::edit(const set_server_state& what, monotonic_time now)
 {
-    if (this->known.empty()) {
-        return this->edit_state("backend_server", what.name.value, {}, what.state, now);
+    const auto* item = find_server(this->in_force, what.name);
+    if (item == nullptr) {
+        return this->unknown_item(
+            unknown_name(server_list, what.name.value, this->in_force.backend_servers));
     }
-    const auto present = parse(this->known.back()).value;
-    return this->edit_state("backend_server", what.name.value,
-                            state_of(find_server(present, what.name)), what.state, now);
+    return this->edit_state(server_list, *item, what.state, now);
+}
+
+change_step configuration_change::unknown_item(fault what) const
+{
+    auto out = this->answer(change_outcome::invalid, "");
+    out.faults.push_back(std::move(what));
+    return out;
 }
 
-change_step configuration_change::edit_state(const std::string& list, const std::string& name,
-                                             std::optional<service_state> present,
+template <class Item>
+change_step configuration_change::edit_state(const char* list, const Item& item,
                                              service_state wanted, monotonic_time now)
 {
-    if (!present) {
-        const auto all = this->known.empty() ? description{} : parse(this->known.back()).value;
-        auto out = this->answer(change_outcome::invalid, "");
-        out.faults.push_back(list == "failure_domain"
-                                 ? unknown_name(list, name, all.failure_domains)
-                                 : unknown_name(list, name, all.backend_servers));
-        return out;
-    }
-    const auto& in_force = this->known.back();
-    if (*present == wanted) {
-        return this->answer(change_outcome::unchanged, list + " '" + name + "' is so already.");
+    const auto& name = item.name.value;
+    if (item.state == wanted) {
+        return this->answer(change_outcome::unchanged,
+                            std::string{list} + " '" + name + "' is so already.");
     }
-    auto toml = with_state(in_force.toml, list, name, wanted);
+    auto toml = with_state(this->known.back().toml, list, name, wanted);
     if (!toml) {
-        return this->answer(change_outcome::not_accepted,
-                            "The text of the description cannot be edited in place; change the "
-                            "state with apply.");
+        return this->answer(change_outcome::not_accepted, not_editable_text);
     }
-    return this->check(in_force, std::move(*toml), now);
+    return this->check(std::move(*toml), now);
 }
 
-change_step configuration_change::check(const description_record& in_force, std::string toml,
-                                        monotonic_time now)
+change_step configuration_change::check(std::string toml, monotonic_time now)
 {
-    const auto before = parse(in_force).value;
     const auto after = parse_description(toml, submitted_file).value;
-    this->changes = description_diff(before, after);
-    auto dangers = description_dangers(before, after, this->request.load);
+    this->changes = description_diff(this->in_force, after);
+    auto dangers = description_dangers(this->in_force, after, this->request.load);
     if (!dangers.empty() && !this->request.force) {
         auto out = this->answer(change_outcome::dangerous, "");
         out.dangers = std::move(dangers);
@@ -324,7 +320,7 @@
         return out;
     }
     const auto before = read_version == nullptr ? description{} : parse(*read_version).value;
-    out.changed_meanwhile = description_diff(before, parse(this->known.back()).value);
+    out.changed_meanwhile = description_diff(before, this->in_force);
     const auto& latest = this->known.back();
     out.detail = "Version " + std::to_string(latest.version) + " by '" + latest.changed_by +
                  "' is in force (reason: " + latest.reason + "). Read it and apply again.";
--- a/src/host_settings.cpp
+++ b/src/host_settings.cpp
@@ -42,6 +42,22 @@
     }
 }
 
+/// Traffic between entry hosts is plaintext.
+void check_plaintext(toml_reader& in, const host_settings& value)
+{
+    const std::pair<const char*, const std::string*> listeners[] = {
+        {"forward_address", &value.forward_address},
+        {"peer_address", &value.peer_address},
+    };
+    for (const auto& [key, address] : listeners) {
+        const bool open = is_address(*address) && !is_loopback(*address);
+        if (open && !value.allow_plaintext) {
+            in.add_fault(key, "'" + *address + "' without encryption",
+                         "a loopback address, or allow_plaintext = true");
+        }
+    }
+}
+
 void check_operators(toml_reader& in, const host_settings& value)
 {
     const bool has_certificate = !value.tls_certificate.empty();
@@ -108,6 +124,7 @@
         in.time_or("drain_limit_ms", value.drain_limit, milliseconds{1}, longest_drain);
     in.reject_unknown_keys();
     check_distinct(in, value);
+    check_plaintext(in, value);
     check_operators(in, value);
     return out;
 }
--- a/src/programs/figreachctl/changes.cpp
+++ b/src/programs/figreachctl/changes.cpp
@@ -1,14 +1,13 @@
 // Verbs that change the description: apply, domain, server.
 
-#include <charconv>
 #include <iostream>
-#include <optional>
+
 #include <thread>
 
 #include "exit_code.h"
+#include "figreach/version_line.h"
 #include "output.h"
 #include "verb.h"
-#include "version_line.h"
 
 namespace figreachctl {
 
@@ -69,7 +68,7 @@
 int wait_for_hosts(const connection& hosts, std::uint64_t version, std::chrono::seconds limit)
 {
     const auto until = std::chrono::steady_clock::now() + limit;
-    std::vector<std::string> behind{"(no entry host answered)"};
+    auto behind = std::vector<std::string>{"(no entry host answered)"};
     while (std::chrono::steady_clock::now() < until) {
         grpc::ClientContext context;
         hosts.prepare(context, read_timeout);
@@ -125,7 +124,7 @@
     if (call.options.contains("based-on")) {
         return call.options["based-on"].as<std::uint64_t>();
     }
-    const auto version = read_version_line(text);
+    const auto version = figreach::read_version_line(text);
     if (!version) {
         throw usage_error{"the file does not say which version it was made from: begin it with "
                           "'# version: N' as get writes it, or give --based-on N (0 for the "
@@ -150,7 +149,7 @@
     const auto text = read_file(call.arguments[0]);
     wire::ApplyRequest request;
     request.set_based_on_version(based_on(call, text));
-    request.set_description_toml(without_version_line(text));
+    request.set_description_toml(figreach::without_version_line(text));
     request.set_dry_run(call.options.contains("dry-run"));
     fill_common(request, call);
     const connection hosts{call.where};
--- a/src/programs/figreachctl/reads.cpp
+++ b/src/programs/figreachctl/reads.cpp
@@ -3,9 +3,9 @@
 #include <iostream>
 
 #include "exit_code.h"
+#include "figreach/version_line.h"
 #include "output.h"
 #include "verb.h"
-#include "version_line.h"
 
 namespace figreachctl {
 
@@ -81,14 +81,14 @@
     if (!answer.found()) {
         return no_such_version(request.version());
     }
-    std::cout << version_line(answer.version()) << answer.description_toml();
+    std::cout << figreach::version_line(answer.version()) << answer.description_toml();
     return exit_ok;
 }
 
 int run_diff(const verb_call& call)
 {
     wire::DiffRequest request;
-    request.set_description_toml(without_version_line(read_file(call.arguments[0])));
+    request.set_description_toml(figreach::without_version_line(read_file(call.arguments[0])));
     request.set_against_version(call.options["version"].as<std::uint64_t>());
     wire::DiffAnswer answer;
     const int code = ask_and_print(call, &wire::Operator::Stub::Diff, request, answer);
--- a/src/status_advice.cpp
+++ b/src/status_advice.cpp
@@ -96,8 +96,21 @@
               ": wait a few seconds; replace the host if it stays behind.");
 }
 
-void advise_states(advice_list& out, const description& all)
+/// Backend servers that receive no work, or whose failure domain is out, and still own slices.
+advice_list busy_out_servers(const routing_snapshot& routing)
 {
+    advice_list names;
+    for (const auto& server : routing.shared->backend_servers) {
+        if (!receives_work(*routing.shared, server) && owned_slices(routing, server.name) > 0) {
+            names.push_back(server.name.value);
+        }
+    }
+    return names;
+}
+
+void advise_states(advice_list& out, const routing_snapshot& routing)
+{
+    const auto& all = *routing.shared;
     advice_list domains;
     for (const auto& domain : all.failure_domains) {
         if (domain.state == service_state::out) {
@@ -110,6 +123,8 @@
             servers.push_back(server.name.value);
         }
     }
+    add_named(out, "Keys still move away from backend server ", busy_out_servers(routing),
+              ": wait until it owns 0 slices before you work on it.");
     add_named(out, "Out: failure domain ", domains, ". Take it in when its work is done.");
     add_named(out, "Drained: backend server ", servers, ". Undrain it when its work is done.");
 }
@@ -135,7 +150,7 @@
     advise_coordinators(out, *view.routing);
     advise_missing_partitions(out, *view.routing);
     advise_hosts(out, *view.routing);
-    advise_states(out, *view.routing->shared);
+    advise_states(out, *view.routing);
     if (out.empty()) {
         out.emplace_back("Nothing to do.");
     }
--- a/src/programs/figreachctl/version_line.cpp
+++ b/src/version_line.cpp
@@ -1,8 +1,8 @@
-#include "version_line.h"
+#include "figreach/version_line.h"
 
 #include <charconv>
 
-namespace figreachctl {
+namespace figreach {
 
 namespace {
 
@@ -43,4 +43,4 @@
     return end == std::string::npos ? std::string{} : text.substr(end + 1);
 }
 
-} // namespace figreachctl
+} // namespace figreach
--- a/test/host_settings_test.cpp
+++ b/test/host_settings_test.cpp
@@ -50,6 +50,13 @@
      "operator_address = \"10.0.0.1:7400\"\nallow_plaintext = true", ""},
     {"operator_address = \"127.0.0.1:7400\"",
      "operator_address = \"10.0.0.1:7400\"\ntls_certificate = \"c\"\ntls_key = \"k\"", ""},
+    {"127.0.0.1:7100", "10.0.0.1:7100",
+     "s:4: forward_address: found '10.0.0.1:7100' without encryption; allowed: a loopback address, "
+     "or allow_plaintext = true\n"},
+    {"peer_address = \"127.0.0.1:7200\"", "peer_address = \"[fe80::1]:7200\"",
+     "s:5: peer_address: found '[fe80::1]:7200' without encryption; allowed: a loopback address, "
+     "or "
+     "allow_plaintext = true\n"},
     {"operator_token = \"0123456789abcdef\"", "tls_certificate = \"c\"",
      "s:1: tls_key: found nothing; allowed: a file, since the other of tls_certificate and tls_key "
      "is set\n"},
