Refuse changes of the description that could give a key two owners

Cause: found in review: another number of partitions for a described service, or another address for a backend server that receives work, could give a key two owners, and force would have let it pass. Change: transition_faults, refused also with force; pins to a server that would not receive work are dangerous; a test for the answer UNKNOWN over RPC. Conclusion: such changes take a drain or a new name now.

--- a/src/configuration_change.cpp
+++ b/src/configuration_change.cpp
@@ -5,7 +5,7 @@
 #include "figreach/description_diff.h"
 #include "figreach/description_edit.h"
 #include "figreach/description_parser.h"
-#include "figreach/error_kind.h"
+#include "figreach/description_transition.h"
 #include "figreach/history.h"
 
 namespace figreach {
@@ -223,6 +223,12 @@
 {
     const auto after = parse_description(toml, submitted_file).value;
     this->changes = description_diff(this->in_force, after);
+    auto faults = transition_faults(this->in_force, after, submitted_file);
+    if (!faults.empty()) {
+        auto out = this->answer(change_outcome::invalid, "");
+        out.faults = std::move(faults);
+        return out;
+    }
     auto dangers = description_dangers(this->in_force, after, this->request.load);
     if (!dangers.empty() && !this->request.force) {
         auto out = this->answer(change_outcome::dangerous, "");
--- a/src/description_danger.cpp
+++ b/src/description_danger.cpp
@@ -66,6 +66,23 @@
     return "";
 }
 
+/// Keys that an operator tied to a backend server that would not receive work.
+void add_pins(const description& before, const description& after, const service& one,
+              std::vector<std::string>& out)
+{
+    for (const auto& pin : one.pins) {
+        const auto* old = find_server(before, pin.server);
+        const auto* now = find_server(after, pin.server);
+        const bool was_served = old != nullptr && receives_work(before, *old);
+        if (was_served && now != nullptr && !receives_work(after, *now)) {
+            std::string text = "key '" + pin.key;
+            text += "' of service '" + one.name.value;
+            text += "' is pinned to backend server '" + pin.server.value;
+            out.push_back(text + "', which would not receive work.");
+        }
+    }
+}
+
 } // namespace
 
 std::vector<std::string> description_dangers(const description& before, const description& after,
@@ -81,6 +98,9 @@
             out.push_back(std::move(danger));
         }
     }
+    for (const auto& service : after.services) {
+        add_pins(before, after, service, out);
+    }
     for (const auto& tenant : before.tenants) {
         const bool kept =
             std::ranges::find(after.tenants, tenant.name, &tenant::name) != after.tenants.end();
--- a/test/configuration_change_test.cpp
+++ b/test/configuration_change_test.cpp
@@ -98,6 +98,9 @@
      "s1 | s2"},
     {"domain is in", set_domain_state{{"b"}, service_state::in}, change_outcome::unchanged,
      "is so already"},
+    {"could give a key two owners",
+     replace_description{with(sample_description(), "127.0.0.1:9001", "127.0.0.1:9009"), 2},
+     change_outcome::invalid, "until the server is drained"},
     {"removes a service in use", replace_description{"", 2}, change_outcome::dangerous,
      "service 'lessons' is in use"},
 };
--- a/test/description_danger_test.cpp
+++ b/test/description_danger_test.cpp
@@ -2,6 +2,7 @@
 
 #include "figreach/description_diff.h"
 #include "figreach/description_parser.h"
+#include "figreach/description_transition.h"
 #include "property.h"
 #include "sample_description.h"
 
@@ -53,6 +54,14 @@
     {"last domain", [](description& d) { take_out(d, 0, 2); }, 0.0,
      "No failure domain would be in: nothing would receive work.\n"
      "service 'lessons' would have no backend server that receives work.\n"},
+    {"pinned key",
+     [](description& d) {
+         d.services[0].pins = {{.key = "k", .server = {"s1"}}};
+         take_out(d, 0, 0);
+     },
+     0.0,
+     "key 'k' of service 'lessons' is pinned to backend server 's1', which would not receive "
+     "work.\n"},
     {"tenant and service go",
      [](description& d) {
          d.tenants.clear();
@@ -63,6 +72,26 @@
      "tenant 'pelita' has services and would be removed.\n"},
 };
 
+struct transition_row {
+    const char* name;
+    void (*change)(description& all);
+    const char* faults;
+};
+
+const transition_row transition_rows[] = {
+    {"slots", [](description& d) { d.backend_servers[0].slots = 9; }, ""},
+    {"new server", [](description& d) { d.backend_servers[0].name = {"s3"}; }, ""},
+    {"partitions", [](description& d) { d.services[0].partitions = 2; },
+     "d: service 'lessons'.partitions: found 2; allowed: 1, as before; describe a new service for "
+     "another number\n"},
+    {"address", [](description& d) { d.backend_servers[0].address = "127.0.0.1:1"; },
+     "d: backend_server 's1'.address: found '127.0.0.1:1'; allowed: '127.0.0.1:9001' until the "
+     "server is drained, or a new name\n"},
+    {"service", [](description& d) { d.backend_servers[0].service = {"media"}; },
+     "d: backend_server 's1'.service: found 'media'; allowed: 'lessons' until the server is "
+     "drained, or a new name\n"},
+};
+
 struct diff_row {
     const char* from;
     const char* to;
@@ -100,6 +129,22 @@
     }
 }
 
+TEST(description_danger_test, refuses_changes_that_could_give_a_key_two_owners)
+{
+    for (const auto& row : transition_rows) {
+        const auto before = parsed(sample_description());
+        auto after = before;
+        row.change(after);
+        STRCMP_EQUAL_TEXT(row.faults, to_text(transition_faults(before, after, "d")).c_str(),
+                          row.name);
+    }
+    auto drained = parsed(sample_description());
+    drained.backend_servers[0].state = service_state::out;
+    auto moved = drained;
+    moved.backend_servers[0].address = "127.0.0.1:1";
+    CHECK(transition_faults(drained, moved, "d").empty());
+}
+
 TEST(description_danger_test, diff_names_each_difference)
 {
     for (const auto& row : diff_rows) {
--- a/test/rpc/fake_store.h
+++ b/test/rpc/fake_store.h
@@ -65,11 +65,15 @@
             this->fill(*answer->add_responses()->mutable_response_range());
         }
         answer->mutable_header()->set_revision(this->value.mod_revision());
-        const bool lose = this->answers_to_lose > 0 && this->answers_to_lose-- > 0;
+        if (this->goes_down_with_next_write) {
+            this->down = true;
+        }
+        const bool lose = this->down || (this->answers_to_lose > 0 && this->answers_to_lose-- > 0);
         return lose ? grpc::Status{grpc::StatusCode::UNAVAILABLE, "lost"} : grpc::Status::OK;
     }
 
     std::atomic<bool> down{false};
+    std::atomic<bool> goes_down_with_next_write{false}; ///< which takes effect
     std::atomic<int> answers_to_lose{0}; ///< writes that take effect without an answer
 
 private:
--- a/test/rpc/operator_server_test.cpp
+++ b/test/rpc/operator_server_test.cpp
@@ -103,6 +103,19 @@
     LONGS_EQUAL(1, history(on).entries_size());
 }
 
+TEST(operator_server_test, says_so_when_the_outcome_is_not_known)
+{
+    bench on{with_token(token)};
+    on.store.goes_down_with_next_write = true;
+    wire::ApplyAnswer answer;
+    constexpr milliseconds short_timeout{1000};
+    CHECK(apply(on, answer, token, 0, short_timeout).ok());
+    LONGS_EQUAL(wire::ApplyAnswer::UNKNOWN, answer.outcome());
+    on.store.goes_down_with_next_write = false;
+    on.store.down = false;
+    LONGS_EQUAL(1, history(on).entries_size());
+}
+
 TEST(operator_server_test, takes_a_domain_out)
 {
     const bench on{with_token(token)};
