--- a/include/figreach/concurrency_limit.h
+++ b/include/figreach/concurrency_limit.h
@@ -30,8 +30,6 @@
     void set_cold_claim(bool cold, monotonic_time now);
     /// A request was answered after `latency`.
     void on_answer(nanoseconds latency, monotonic_time now);
-    /// A request was lost or refused by the server.
-    void on_failure(monotonic_time now);
 
     [[nodiscard]] std::uint32_t limit() const;
     [[nodiscard]] bool is_cold() const;
--- a/include/figreach/server_gate.h
+++ b/include/figreach/server_gate.h
@@ -38,7 +38,8 @@
 enum class gate_ending : std::uint8_t {
     answered,  ///< the server answered
     refused,   ///< the server refused it because it sheds load
-    failed,    ///< the server was lost or late
+    failed,    ///< the connection was lost: the server may have restarted cold
+    late,      ///< the deadline passed first
     cancelled, ///< the caller left
     not_sent,  ///< nothing was sent, or the server refused it for a stale fence
 };
@@ -46,6 +47,7 @@
 struct gate_settings {
     std::uint32_t slots = 4;
     std::uint32_t longest_queue = 64;
+    milliseconds longest_wait{500}; ///< expected; beyond, a request is refused at once
     milliseconds retry_after{200}; ///< where the queue gives no better time
     milliseconds longest_retry_after{10000};
     milliseconds first_pause{50}; ///< after the server shed a request
@@ -98,8 +100,11 @@
     [[nodiscard]] std::uint32_t free_slots() const;
     [[nodiscard]] bool may_start(monotonic_time now) const;
     [[nodiscard]] milliseconds expected_wait(std::size_t ahead) const;
+    /// Whether the expected wait is too long to be worth it.
     [[nodiscard]] bool too_late(const gate_request& request, monotonic_time now) const;
-    [[nodiscard]] bool over_share(const tenant_id& tenant, std::uint32_t weight) const;
+    /// Requests of a tenant that wait or have started.
+    [[nodiscard]] std::size_t held_by(const tenant_id& tenant) const;
+    [[nodiscard]] bool over_share(const gate_request& request) const;
     [[nodiscard]] std::optional<gate_request> displaced_by(const gate_request& request) const;
     void start(const gate_request& request, gate_decisions& out);
     void start_waiting(gate_decisions& out, monotonic_time now);
--- a/src/concurrency_limit.cpp
+++ b/src/concurrency_limit.cpp
@@ -47,13 +47,6 @@
     this->grow_cold(now);
 }
 
-void concurrency_limit::on_failure(monotonic_time now)
-{
-    if (this->is_cold()) {
-        this->restart_cold(now);
-    }
-}
-
 std::uint32_t concurrency_limit::limit() const
 {
     const auto whole = static_cast<std::uint32_t>(this->adaptive);
--- a/src/runtime/caller_session.cpp
+++ b/src/runtime/caller_session.cpp
@@ -77,9 +77,10 @@
         return gate_ending::not_sent;
     case relay_ending::caller_gone:
         return gate_ending::cancelled;
+    case relay_ending::late:
+        return gate_ending::late;
     case relay_ending::lost:
     case relay_ending::cut_short:
-    case relay_ending::late:
         return gate_ending::failed;
     }
     return gate_ending::failed;
--- a/src/server_gate.cpp
+++ b/src/server_gate.cpp
@@ -51,15 +51,17 @@
         this->started_by_tenant.erase(found->second);
     }
     this->started.erase(found);
-    if (ending == gate_ending::answered) {
+    if (ending == gate_ending::answered || ending == gate_ending::late) {
         this->limiter.on_answer(latency, now);
+    }
+    if (ending == gate_ending::answered) {
         this->refusals_in_a_row = 0;
     }
     if (ending == gate_ending::refused) {
         this->pause(now);
     }
-    if (ending == gate_ending::refused || ending == gate_ending::failed) {
-        this->limiter.on_failure(now);
+    if (ending == gate_ending::failed || (ending == gate_ending::refused && this->is_cold())) {
+        this->limiter.restart_cold(now);
     }
     this->expire_waiting(out, now);
     this->start_waiting(out, now);
@@ -172,33 +174,40 @@
 {
     const auto begin = std::max(now + this->expected_wait(this->queue.size()), this->paused_until);
     const auto end = begin + this->limiter.recent_latency();
-    return end > request.deadline;
+    return end > request.deadline || begin > now + this->settings.longest_wait;
 }
 
-bool server_gate::over_share(const tenant_id& tenant, std::uint32_t weight) const
+std::size_t server_gate::held_by(const tenant_id& tenant) const
 {
     const auto found = this->started_by_tenant.find(tenant);
-    const auto running_here = found == this->started_by_tenant.end() ? 0U : found->second;
-    const auto held = this->queue.size_of(tenant) + running_here;
+    const auto started_here = found == this->started_by_tenant.end() ? 0U : found->second;
+    return this->queue.size_of(tenant) + started_here;
+}
+
+bool server_gate::over_share(const gate_request& request) const
+{
+    const auto held = this->held_by(request.tenant);
     const auto all = this->queue.size() + this->started.size();
-    const auto others = this->queue.waiting_weight();
-    const auto all_weight =
-        this->queue.size_of(tenant) > 0 ? others : others + std::max(weight, 1U);
-    return held < all && held * all_weight > all * std::max(weight, 1U);
+    const std::uint64_t weight = std::max(request.weight, 1U);
+    const bool counted = this->queue.size_of(request.tenant) > 0;
+    const auto all_weight = this->queue.waiting_weight() + (counted ? 0 : weight);
+    return held < all && held * all_weight > all * weight;
 }
 
 std::optional<gate_request> server_gate::displaced_by(const gate_request& request) const
 {
     const auto worst = this->queue.first_to_shed();
-    if (!worst) {
+    if (!worst || worst->shed_order < request.shed_order) {
         return std::nullopt;
     }
-    const bool worse_class = worst->shed_order > request.shed_order;
-    const bool greedier = worst->shed_order == request.shed_order &&
-                          worst->tenant != request.tenant &&
-                          this->over_share(worst->tenant, worst->weight) &&
-                          !this->over_share(request.tenant, request.weight);
-    return worse_class || greedier ? worst : std::nullopt;
+    if (worst->shed_order > request.shed_order) {
+        return worst;
+    }
+    // Within a class the tenant that holds more for its weight gives way.
+    const auto theirs = this->held_by(worst->tenant) * std::max(request.weight, 1U);
+    const auto ours = (this->held_by(request.tenant) + 1) * std::max(worst->weight, 1U);
+    const bool greedier = worst->tenant != request.tenant && theirs > ours;
+    return greedier ? worst : std::nullopt;
 }
 
 void server_gate::start(const gate_request& request, gate_decisions& out)
@@ -239,7 +248,10 @@
             return;
         }
         this->queue.remove(victim->id);
-        out.emplace_back(this->refusal(victim->id, this->crowded_kind(*victim, plain)));
+        const bool greedier = victim->shed_order == request.shed_order;
+        const auto kind =
+            greedier ? error_kind::tenant_over_limit : this->crowded_kind(*victim, plain);
+        out.emplace_back(this->refusal(victim->id, kind));
     }
     this->queue.push(request);
     out.emplace_back(gate_wait{request.id});
@@ -256,7 +268,7 @@
 
 error_kind server_gate::crowded_kind(const gate_request& request, error_kind plain) const
 {
-    if (this->over_share(request.tenant, request.weight)) {
+    if (this->over_share(request)) {
         return error_kind::tenant_over_limit;
     }
     return this->is_cold() ? error_kind::server_cold : plain;
