--- a/include/figreach/concurrency_limit.h
+++ b/include/figreach/concurrency_limit.h
@@ -14,7 +14,7 @@
     double recent_weight = 0.2;     ///< of a new answer in the recent latency
     double usual_weight = 0.01;     ///< of a new answer in the usual latency
     std::uint32_t cold_answers = 8; ///< good answers before a cold cap grows by one
-    milliseconds cold_step{500};    ///< least time before a cold cap grows by one
+    milliseconds cold_step{2000};   ///< least time before a cold cap grows by one
     milliseconds longest_cold_claim{60000}; ///< after which a server's claim to be cold is ignored
 };
 
@@ -24,8 +24,8 @@
 public:
     explicit concurrency_limit(concurrency_limit_settings settings);
 
-    /// Starts the cold cap anew.
-    void restart_cold(monotonic_time now);
+    /// Starts the cold cap anew, at `from` requests.
+    void restart_cold(monotonic_time now, std::uint32_t from = 1);
     /// The server says whether it is cold; its cap does not grow meanwhile.
     void set_cold_claim(bool cold, monotonic_time now);
     /// A request was answered after `latency`.
--- a/include/figreach/server_gate.h
+++ b/include/figreach/server_gate.h
@@ -48,7 +48,7 @@
     std::uint32_t slots = 4;
     std::uint32_t longest_queue = 64;
     milliseconds longest_wait{500}; ///< expected; beyond, a request is refused at once
-    milliseconds retry_after{200}; ///< where the queue gives no better time
+    milliseconds retry_after{200};  ///< where the queue gives no better time
     milliseconds longest_retry_after{10000};
     milliseconds first_pause{50}; ///< after the server shed a request
     milliseconds longest_pause{2000};
@@ -79,7 +79,8 @@
     /// Removes a waiting request whose caller left. Does nothing for another ticket.
     void leave(ticket id);
     [[nodiscard]] gate_decisions set_authority(const gate_authority& authority, monotonic_time now);
-    /// An answer named the server's incarnation; a new one starts the cold cap anew.
+    /// An answer named the server's incarnation; a new one starts the cold cap anew,
+    /// at half of the slots when none was known before.
     void note_incarnation(std::uint64_t seen, monotonic_time now);
     /// Gives up what waited beyond its deadline or beyond the authority; ends pauses.
     [[nodiscard]] gate_decisions on_tick(monotonic_time now);
--- a/src/concurrency_limit.cpp
+++ b/src/concurrency_limit.cpp
@@ -18,9 +18,9 @@
 {
 }
 
-void concurrency_limit::restart_cold(monotonic_time now)
+void concurrency_limit::restart_cold(monotonic_time now, std::uint32_t from)
 {
-    this->cold_cap = 1;
+    this->cold_cap = std::clamp(from, 1U, this->settings.most);
     this->good_answers = 0;
     this->stepped = now;
 }
--- a/src/server_gate.cpp
+++ b/src/server_gate.cpp
@@ -88,10 +88,13 @@
 
 void server_gate::note_incarnation(std::uint64_t seen, monotonic_time now)
 {
-    if (seen != this->incarnation) {
-        this->incarnation = seen;
-        this->limiter.restart_cold(now);
+    if (seen == this->incarnation) {
+        return;
     }
+    // At first sight the server is as likely warm as cold; its own claim is heeded besides.
+    const bool first_sight = this->incarnation == 0;
+    this->incarnation = seen;
+    this->limiter.restart_cold(now, first_sight ? this->settings.slots / 2 : 1);
 }
 
 gate_decisions server_gate::on_tick(monotonic_time now)
