--- a/src/concurrency_limit.cpp
+++ b/src/concurrency_limit.cpp
@@ -18,9 +18,9 @@
 {
 }
 
-void concurrency_limit::restart_cold(monotonic_time now)
+void concurrency_limit::restart_cold(monotonic_time now, std::uint32_t from)
 {
-    this->cold_cap = 1;
+    this->cold_cap = std::clamp(from, 1U, this->settings.most);
     this->good_answers = 0;
     this->stepped = now;
 }
@@ -47,13 +47,6 @@
     this->grow_cold(now);
 }
 
-void concurrency_limit::on_failure(monotonic_time now)
-{
-    if (this->is_cold()) {
-        this->restart_cold(now);
-    }
-}
-
 std::uint32_t concurrency_limit::limit() const
 {
     const auto whole = static_cast<std::uint32_t>(this->adaptive);
