--- a/src/programs/figreach-load/main.cpp
+++ b/src/programs/figreach-load/main.cpp
@@ -102,6 +102,7 @@
 {
     std::vector<std::unique_ptr<load::load_worker>> workers;
     std::vector<std::thread> threads;
+    threads.reserve(settings.threads);
     for (std::uint32_t i = 0; i < settings.threads; ++i) {
         workers.push_back(std::make_unique<load::load_worker>(settings, i));
     }
--- a/src/programs/figreach-standin/store_faults.cpp
+++ b/src/programs/figreach-standin/store_faults.cpp
@@ -11,11 +11,11 @@
     try {
         const auto value = boost::json::parse(text);
         const auto& in = value.as_object();
-        const auto* down_ = in.if_contains("down");
+        const auto* gone = in.if_contains("down");
         const auto* slow = in.if_contains("slow_ms");
         const auto* lose = in.if_contains("lose_answers");
         const auto* lapsed = in.if_contains("lapse_leases");
-        const bool next_down = down_ != nullptr ? down_->as_bool() : this->is_down.load();
+        const bool next_down = gone != nullptr ? gone->as_bool() : this->is_down.load();
         const auto next_delay =
             slow != nullptr ? slow->to_number<std::int64_t>() : this->delay_ms.load();
         const auto next_lose =
