--- a/src/programs/figreach-standin/store.cpp
+++ b/src/programs/figreach-standin/store.cpp
@@ -157,7 +157,7 @@
             return {grpc::StatusCode::INVALID_ARGUMENT, "a watch begins with create_request"};
         }
         this->faults.waiting_watches.fetch_add(1);
-        const auto status = this->serve(*context, *stream, request.create_request());
+        auto status = this->serve(*context, *stream, request.create_request());
         this->faults.waiting_watches.fetch_sub(1);
         return status;
     }
