--- a/src/toml_reader.cpp
+++ b/src/toml_reader.cpp
@@ -1,7 +1,9 @@
 #include "figreach/toml_reader.h"
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
+#include <optional>
 #include <sstream>
 #include <utility>
 
@@ -27,32 +29,72 @@
     return out;
 }
 
-constexpr auto address_form = "IP number and port, for example 127.0.0.1:9000 or [::1]:9000";
-
-} // namespace
+bool is_port(std::string_view text)
+{
+    constexpr unsigned highest_port = 65535;
+    unsigned port = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), port);
+    const bool whole = end == text.data() + text.size();
+    return error == std::errc{} && whole && port != 0 && port <= highest_port;
+}
 
-bool is_address(std::string_view text)
+/// The IP number in a well-formed address.
+std::optional<boost::asio::ip::address> number_of(std::string_view address)
 {
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos) {
-        return false;
+    const auto colon = address.rfind(':');
+    if (colon == std::string_view::npos || !is_port(address.substr(colon + 1))) {
+        return std::nullopt;
     }
-    auto host = text.substr(0, colon);
-    const auto port_text = text.substr(colon + 1);
+    auto host = address.substr(0, colon);
     const bool bracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
     if (bracketed) {
         host = host.substr(1, host.size() - 2);
     }
-    unsigned port = 0;
-    const auto [end, port_error] =
-        std::from_chars(port_text.data(), port_text.data() + port_text.size(), port);
-    const bool whole = end == port_text.data() + port_text.size();
-    if (port_error != std::errc{} || !whole || port == 0 || port > 65535) {
-        return false;
-    }
     boost::system::error_code failed;
     const auto number = boost::asio::ip::make_address(std::string{host}, failed);
-    return !failed && number.is_v6() == bracketed;
+    return !failed && number.is_v6() == bracketed ? std::optional{number} : std::nullopt;
+}
+
+constexpr std::size_t longest_name = 64;
+constexpr auto name_form = "at most 64 letters, digits, '.', '_' and '-'";
+
+bool is_name(std::string_view text)
+{
+    const auto allowed = [](unsigned char byte) {
+        return std::isalnum(byte) != 0 || byte == '.' || byte == '_' || byte == '-';
+    };
+    return text.size() <= longest_name && std::ranges::all_of(text, allowed);
+}
+
+constexpr auto address_form = "IP number and port, for example 127.0.0.1:9000 or [::1]:9000";
+
+} // namespace
+
+std::optional<toml::table> parse_toml(std::string_view toml, const std::string& file,
+                                      fault_list& faults)
+{
+    try {
+        return toml::parse(toml, file);
+    }
+    catch (const toml::parse_error& error) {
+        faults.push_back({.file = file,
+                          .line = error.source().begin.line,
+                          .key = "(syntax)",
+                          .found = std::string{error.description()},
+                          .allowed = "well-formed TOML"});
+        return std::nullopt;
+    }
+}
+
+bool is_address(std::string_view text)
+{
+    return number_of(text).has_value();
+}
+
+bool is_loopback(std::string_view address)
+{
+    const auto number = number_of(address);
+    return number && number->is_loopback();
 }
 
 toml_reader::toml_reader(const toml::table& table_, std::string path_, std::string file_,
@@ -67,6 +109,11 @@
     return this->table->get(key);
 }
 
+unsigned toml_reader::line() const
+{
+    return this->table->source().begin.line;
+}
+
 unsigned toml_reader::line_of(std::string_view key) const
 {
     const auto* node = this->table->get(key);
@@ -99,6 +146,16 @@
     return *value;
 }
 
+std::string toml_reader::name(std::string_view key)
+{
+    const auto before = this->faults->size();
+    auto value = this->text(key);
+    if (this->faults->size() == before && !is_name(value)) {
+        this->add_fault(key, "'" + value + "'", name_form);
+    }
+    return value;
+}
+
 std::string toml_reader::text_or(std::string_view key, std::string_view fallback)
 {
     if (!this->table->contains(key)) {
