Wire drain, load reports and peer keys to the parts that now exist

Cause: entry_host used begin_drain, in_flight, take_load and leave only where they existed. Change: direct calls; controller::leave; settings peer_public_key and peer_secret_key, which must come together.

--- a/include/figreach/controller.h
+++ b/include/figreach/controller.h
@@ -28,6 +28,9 @@
 
     [[nodiscard]] control_actions handle(const control_event& event, monotonic_time now);
 
+    /// From now on this host tells the others that it leaves.
+    void leave();
+
 private:
     void on_event(const tick& event, monotonic_time now);
     void on_event(const peer_received& event, monotonic_time now);
--- a/include/figreach/host_settings.h
+++ b/include/figreach/host_settings.h
@@ -30,6 +30,8 @@
     std::string tls_certificate;  ///< of the operators' RPC, file in PEM; empty: plaintext
     std::string tls_key;          ///< file in PEM
     std::string tls_client_ca;    ///< file in PEM; operators need a certificate signed by it
+    std::string peer_public_key;  ///< of the traffic between hosts, file; empty: plaintext
+    std::string peer_secret_key;  ///< file
     bool allow_plaintext = false; ///< listeners not on loopback may do without TLS
     milliseconds balancer_grace{2000};
     milliseconds drain_limit{30000};
--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -54,6 +54,11 @@
     return std::exchange(this->actions, {});
 }
 
+void controller::leave()
+{
+    this->peers.leave();
+}
+
 void controller::on_event(const tick&, monotonic_time now)
 {
     for (auto& message : this->peers.on_tick(this->news(now), now)) {
--- a/src/host_settings.cpp
+++ b/src/host_settings.cpp
@@ -42,6 +42,15 @@
     }
 }
 
+void check_peer_keys(toml_reader& in, const host_settings& value)
+{
+    const bool has_public = !value.peer_public_key.empty();
+    if (has_public != !value.peer_secret_key.empty()) {
+        in.add_fault(has_public ? "peer_secret_key" : "peer_public_key", "nothing",
+                     "a file, since the other of peer_public_key and peer_secret_key is set");
+    }
+}
+
 void check_operators(toml_reader& in, const host_settings& value)
 {
     const bool has_certificate = !value.tls_certificate.empty();
@@ -101,6 +110,8 @@
     value.tls_certificate = in.text_or("tls_certificate", "");
     value.tls_key = in.text_or("tls_key", "");
     value.tls_client_ca = in.text_or("tls_client_ca", "");
+    value.peer_public_key = in.text_or("peer_public_key", "");
+    value.peer_secret_key = in.text_or("peer_secret_key", "");
     value.allow_plaintext = in.flag_or("allow_plaintext", value.allow_plaintext);
     value.balancer_grace =
         in.time_or("balancer_grace_ms", value.balancer_grace, milliseconds{0}, longest_grace);
@@ -108,6 +119,7 @@
         in.time_or("drain_limit_ms", value.drain_limit, milliseconds{1}, longest_drain);
     in.reject_unknown_keys();
     check_distinct(in, value);
+    check_peer_keys(in, value);
     check_operators(in, value);
     return out;
 }
--- a/src/programs/figreachd/main.cpp
+++ b/src/programs/figreachd/main.cpp
@@ -93,6 +93,8 @@
         {"tls_certificate", &settings.tls_certificate},
         {"tls_key", &settings.tls_key},
         {"tls_client_ca", &settings.tls_client_ca},
+        {"peer_public_key", &settings.peer_public_key},
+        {"peer_secret_key", &settings.peer_secret_key},
     };
     figreach::fault_list faults;
     for (const auto& [key, path] : files) {
--- a/src/rpc/entry_host.cpp
+++ b/src/rpc/entry_host.cpp
@@ -43,52 +43,10 @@
             .threads = settings.request_threads};
 }
 
-// Parts that not every build of the other modules offers.
-
-template <class Plane>
-void begin_drain(Plane& plane)
-{
-    if constexpr (requires { plane.begin_drain(); }) {
-        plane.begin_drain();
-    }
-}
-
-template <class Plane>
-std::uint64_t in_flight(const Plane& plane)
+peer_security security_of(const host_settings& settings)
 {
-    if constexpr (requires { plane.in_flight(); }) {
-        return plane.in_flight();
-    }
-    return 0;
-}
-
-template <class Controller>
-void leave(Controller& decisions)
-{
-    if constexpr (requires { decisions.leave(); }) {
-        decisions.leave();
-    }
-}
-
-template <class Link>
-std::vector<slice_load> take_load(Link& link, milliseconds over)
-{
-    if constexpr (requires { link.take_load(over); }) {
-        return link.take_load(over);
-    }
-    return {};
-}
-
-template <class Settings>
-peer_security security_of(const Settings& settings)
-{
-    peer_security out;
-    if constexpr (requires { settings.peer_public_key; }) {
-        out = read_peer_security(settings.peer_public_key, settings.peer_secret_key);
-    }
-    if constexpr (requires { settings.allow_plaintext; }) {
-        out.allow_plaintext = settings.allow_plaintext;
-    }
+    auto out = read_peer_security(settings.peer_public_key, settings.peer_secret_key);
+    out.allow_plaintext = settings.allow_plaintext;
     return out;
 }
 
@@ -144,13 +102,13 @@
     this->leaving = true;
     this->bell.ring();
     std::this_thread::sleep_for(std::max(this->balancer_grace, leave_notice));
-    begin_drain(this->requests);
+    this->requests.begin_drain();
     const auto until = monotonic_time::clock::now() + this->drain_limit;
-    while (in_flight(this->requests) > 0 && monotonic_time::clock::now() < until) {
+    while (this->requests.in_flight() > 0 && monotonic_time::clock::now() < until) {
         std::this_thread::sleep_for(drain_check);
     }
     log_change(log_level::info, "drained",
-               {{"in_flight", std::to_string(in_flight(this->requests))}});
+               {{"in_flight", std::to_string(this->requests.in_flight())}});
 }
 
 void entry_host::run()
@@ -183,7 +141,7 @@
 {
     if (this->leaving && !this->peers_told) {
         this->peers_told = true;
-        leave(this->decisions);
+        this->decisions.leave();
     }
 }
 
@@ -201,7 +159,7 @@
         if (!link) {
             continue;
         }
-        auto slices = take_load(*link, over);
+        auto slices = link->take_load(over);
         if (!first) {
             this->take(load_seen{.server = name, .over = over, .slices = std::move(slices)});
         }
@@ -256,7 +214,7 @@
     gauge("description_version", "Version of the description in force here.",
           [this] { return this->description_version.load(); });
     gauge("requests_in_flight", "Requests under way.",
-          [this] { return in_flight(this->requests); });
+          [this] { return this->requests.in_flight(); });
 }
 
 void entry_host::take(const control_event& event)
--- a/test/host_settings_test.cpp
+++ b/test/host_settings_test.cpp
@@ -50,6 +50,11 @@
      "operator_address = \"10.0.0.1:7400\"\nallow_plaintext = true", ""},
     {"operator_address = \"127.0.0.1:7400\"",
      "operator_address = \"10.0.0.1:7400\"\ntls_certificate = \"c\"\ntls_key = \"k\"", ""},
+    {"operator_token = \"0123456789abcdef\"", "peer_public_key = \"p\"",
+     "s:1: peer_secret_key: found nothing; allowed: a file, since the other of peer_public_key and "
+     "peer_secret_key is set\n"},
+    {"operator_token = \"0123456789abcdef\"", "peer_public_key = \"p\"\npeer_secret_key = \"s\"",
+     ""},
     {"operator_token = \"0123456789abcdef\"", "tls_certificate = \"c\"",
      "s:1: tls_key: found nothing; allowed: a file, since the other of tls_certificate and tls_key "
      "is set\n"},
