--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -29,15 +29,6 @@
                     route.coordinated_here, route.takes_new_work);
 }
 
-/// Not every membership tells that its host leaves.
-template <class Members>
-void tell_leave(Members& members)
-{
-    if constexpr (requires { members.leave(); }) {
-        members.leave();
-    }
-}
-
 bool same_routes(const std::map<backend_server_id, server_route>& left,
                  const std::map<backend_server_id, server_route>& right)
 {
@@ -66,7 +57,7 @@
 
 void controller::leave()
 {
-    tell_leave(this->peers);
+    this->peers.leave();
 }
 
 void controller::on_event(const tick&, monotonic_time now)
--- a/src/host_settings.cpp
+++ b/src/host_settings.cpp
@@ -42,22 +42,36 @@
     }
 }
 
-/// Traffic between entry hosts is plaintext.
+/// Forwarded requests are plaintext, and so are messages between entry hosts without keys.
 void check_plaintext(toml_reader& in, const host_settings& value)
 {
-    const std::pair<const char*, const std::string*> listeners[] = {
-        {"forward_address", &value.forward_address},
-        {"peer_address", &value.peer_address},
+    struct listener {
+        const char* key;
+        const std::string& address;
+        bool encrypted;
     };
-    for (const auto& [key, address] : listeners) {
-        const bool open = is_address(*address) && !is_loopback(*address);
-        if (open && !value.allow_plaintext) {
-            in.add_fault(key, "'" + *address + "' without encryption",
+    const listener listeners[] = {
+        {"forward_address", value.forward_address, false},
+        {"peer_address", value.peer_address, !value.peer_public_key.empty()},
+    };
+    for (const auto& one : listeners) {
+        const bool open = is_address(one.address) && !is_loopback(one.address);
+        if (open && !one.encrypted && !value.allow_plaintext) {
+            in.add_fault(one.key, "'" + one.address + "' without encryption",
                          "a loopback address, or allow_plaintext = true");
         }
     }
 }
 
+void check_peer_keys(toml_reader& in, const host_settings& value)
+{
+    const bool has_public = !value.peer_public_key.empty();
+    if (has_public != !value.peer_secret_key.empty()) {
+        in.add_fault(has_public ? "peer_secret_key" : "peer_public_key", "nothing",
+                     "a file, since the other of peer_public_key and peer_secret_key is set");
+    }
+}
+
 void check_operators(toml_reader& in, const host_settings& value)
 {
     const bool has_certificate = !value.tls_certificate.empty();
@@ -117,6 +131,8 @@
     value.tls_certificate = in.text_or("tls_certificate", "");
     value.tls_key = in.text_or("tls_key", "");
     value.tls_client_ca = in.text_or("tls_client_ca", "");
+    value.peer_public_key = in.text_or("peer_public_key", "");
+    value.peer_secret_key = in.text_or("peer_secret_key", "");
     value.allow_plaintext = in.flag_or("allow_plaintext", value.allow_plaintext);
     value.balancer_grace =
         in.time_or("balancer_grace_ms", value.balancer_grace, milliseconds{0}, longest_grace);
@@ -125,6 +141,7 @@
     in.reject_unknown_keys();
     check_distinct(in, value);
     check_plaintext(in, value);
+    check_peer_keys(in, value);
     check_operators(in, value);
     return out;
 }
--- a/test/host_settings_test.cpp
+++ b/test/host_settings_test.cpp
@@ -57,6 +57,11 @@
      "s:5: peer_address: found '[fe80::1]:7200' without encryption; allowed: a loopback address, "
      "or "
      "allow_plaintext = true\n"},
+    {"operator_token = \"0123456789abcdef\"", "peer_public_key = \"p\"",
+     "s:1: peer_secret_key: found nothing; allowed: a file, since the other of peer_public_key and "
+     "peer_secret_key is set\n"},
+    {"operator_token = \"0123456789abcdef\"", "peer_public_key = \"p\"\npeer_secret_key = \"s\"",
+     ""},
     {"operator_token = \"0123456789abcdef\"", "tls_certificate = \"c\"",
      "s:1: tls_key: found nothing; allowed: a file, since the other of tls_certificate and tls_key "
      "is set\n"},
