--- a/include/figreach/controller.h
+++ b/include/figreach/controller.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "figreach/control.h"
@@ -44,10 +45,12 @@
     void spread_description(const peer_message& message, monotonic_time now);
     void take_hints(const peer_message& message);
     void take_hints(const gossip& heard);
+    void tell_take_over(monotonic_time now);
+    void note_hosts(monotonic_time now);
+    [[nodiscard]] const host_state* find_host(const host_id& name) const;
     void request_description(const gossip& heard, const host_id& from, monotonic_time now);
-    void publish_if_changed(monotonic_time now);
-    [[nodiscard]] std::map<backend_server_id, server_route>
-    present_routes(monotonic_time now) const;
+    void publish_if_changed();
+    [[nodiscard]] std::map<backend_server_id, server_route> present_routes() const;
     [[nodiscard]] server_route route_to(const backend_server& server, bool coordinated_here) const;
     [[nodiscard]] gossip news(monotonic_time now) const;
     [[nodiscard]] surroundings around(monotonic_time now);
@@ -61,7 +64,10 @@
     std::shared_ptr<assigner> placing;
     ownership owned;
     std::vector<host_state> hosts;
+    std::map<host_id, host_state> recent_hosts; ///< also those that lived a short time ago
+    std::map<host_id, monotonic_time> lived_at;
     std::map<backend_server_id, coordinator_hint> hints;
+    std::set<backend_server_id> coordinated;
     std::shared_ptr<const routing_snapshot> published;
     monotonic_time next_description_poll{};
     monotonic_time next_description_request{};
--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -1,7 +1,6 @@
 #include "figreach/controller.h"
 
 #include <algorithm>
-#include <set>
 #include <tuple>
 #include <utility>
 
@@ -14,6 +13,9 @@
 
 constexpr milliseconds description_request_interval{200};
 constexpr std::size_t description_pollers = 3;
+constexpr std::size_t most_told_hosts = 32; ///< larger fleets learn of coordinators by gossip
+/// A host that is no longer listed may still coordinate until it has handed its servers over.
+constexpr milliseconds listed_after_end{400};
 
 placement placement_by(const std::shared_ptr<assigner>& placing)
 {
@@ -60,7 +62,9 @@
 control_actions controller::handle(const control_event& event, monotonic_time now)
 {
     std::visit([this, now](const auto& one) { this->on_event(one, now); }, event);
-    this->publish_if_changed(now);
+    this->note_hosts(now);
+    this->tell_take_over(now);
+    this->publish_if_changed();
     return std::exchange(this->actions, {});
 }
 
@@ -195,13 +199,13 @@
     }
 }
 
-void controller::publish_if_changed(monotonic_time now)
+void controller::publish_if_changed()
 {
     const auto& shared = this->descriptions.latest();
     if (!shared) {
         return;
     }
-    auto routes = this->present_routes(now);
+    auto routes = this->present_routes();
     const bool same = this->published && this->published->shared == shared &&
                       this->published->partitions == this->owned.partitions() &&
                       this->published->hosts == this->hosts &&
@@ -218,27 +222,60 @@
     this->actions.insert(this->actions.begin(), publish_routes{this->published});
 }
 
-std::map<backend_server_id, server_route> controller::present_routes(monotonic_time now) const
+/// Tells the others at once which servers this host took over, so that they forward to it.
+void controller::tell_take_over(monotonic_time now)
 {
-    std::set<backend_server_id> own;
+    std::set<backend_server_id> present;
+    probe_answer body;
     for (auto& hint : this->owned.coordinated(now)) {
-        own.insert(std::move(hint.server));
+        present.insert(hint.server);
+        if (!this->coordinated.contains(hint.server)) {
+            body.news.coordinators.push_back(std::move(hint));
+        }
+    }
+    this->coordinated = std::move(present);
+    if (body.news.coordinators.empty() || this->hosts.size() > most_told_hosts) {
+        return;
+    }
+    body.news.description_version = this->descriptions.version();
+    for (const auto& host : this->hosts) {
+        if (host.host != this->self.name) {
+            this->actions.emplace_back(send_to_host{.address = host.peer_address, .body = body});
+        }
+    }
+}
+
+void controller::note_hosts(monotonic_time now)
+{
+    for (const auto& host : this->hosts) {
+        this->recent_hosts[host.host] = host;
+        this->lived_at[host.host] = now;
     }
+    std::erase_if(this->recent_hosts, [this, now](const auto& item) {
+        return now >= this->lived_at[item.first] + listed_after_end;
+    });
+}
+
+const host_state* controller::find_host(const host_id& name) const
+{
+    const auto found = this->recent_hosts.find(name);
+    return found == this->recent_hosts.end() ? nullptr : &found->second;
+}
+
+std::map<backend_server_id, server_route> controller::present_routes() const
+{
     std::map<backend_server_id, server_route> out;
     for (const auto& server : this->descriptions.latest()->backend_servers) {
-        out[server.name] = this->route_to(server, own.contains(server.name));
+        out[server.name] = this->route_to(server, this->coordinated.contains(server.name));
     }
     return out;
 }
 
 server_route controller::route_to(const backend_server& server, bool coordinated_here) const
 {
-    const auto find_host = [this](const host_id& name) {
-        return std::ranges::find(this->hosts, name, &host_state::host);
-    };
     const auto hint = this->hints.find(server.name);
     const bool hinted = hint != this->hints.end() && hint->second.host != this->self.name &&
-                        find_host(hint->second.host) != this->hosts.end();
+                        this->find_host(hint->second.host) != nullptr;
     auto name = preferred_in_domain(server.name.value, server.failure_domain, this->hosts);
     if (coordinated_here) {
         name = this->self.name;
@@ -246,11 +283,11 @@
     else if (hinted) {
         name = hint->second.host;
     }
-    const auto host = find_host(name);
+    const auto* host = this->find_host(name);
     return {.server = server.name,
             .address = server.address,
             .coordinator = name,
-            .forward_address = host == this->hosts.end() ? std::string{} : host->forward_address,
+            .forward_address = host == nullptr ? std::string{} : host->forward_address,
             .coordinated_here = coordinated_here,
             .takes_new_work = receives_work(*this->descriptions.latest(), server)};
 }
