--- a/test/ownership_world.h
+++ b/test/ownership_world.h
@@ -60,6 +60,7 @@
     bool checks_fences = true;
     std::uint32_t seed = 1;
     ownership_settings rules;
+    unsigned drift_percent = 2;       ///< of each clock, either way
     bool store_compares = true;       ///< false: broken on purpose
     bool reread_after_silence = true; ///< false: a write without an answer passes for done
 };
@@ -136,6 +137,7 @@
     [[nodiscard]] bool active(fault_kind kind) const;
     [[nodiscard]] bool reaches(unsigned from, unsigned to) const;
     [[nodiscard]] bool reaches_server(unsigned from, unsigned to) const;
+    [[nodiscard]] monotonic_time drifted(unsigned index) const;
     [[nodiscard]] milliseconds delay();
     bool chance(double share) { return std::uniform_real_distribution<>{}(this->random) < share; }
     void at(monotonic_time when, action what) { this->events.emplace(when, std::move(what)); }
@@ -283,6 +285,14 @@
            (!split || this->active(fault_kind::host_alone, from));
 }
 
+/// The clock of a host or backend server: every second one is fast, the others are slow.
+inline monotonic_time world::drifted(unsigned index) const
+{
+    const auto passed = this->now - this->begin;
+    const auto off = passed * static_cast<int>(this->settings.drift_percent) / 100;
+    return index % 2 == 0 ? this->now + off : this->now - off;
+}
+
 inline milliseconds world::delay()
 {
     const int most = this->active(fault_kind::slow) ? 300 : 3;
@@ -316,7 +326,7 @@
         for (auto& one : std::exchange(host.waiting, {})) {
             one();
         }
-        this->carry_out(index, host.process->on_tick(this->around(index), this->now));
+        this->carry_out(index, host.process->on_tick(this->around(index), this->drifted(index)));
     }
     this->at(this->now + tick_interval, [this, index] { this->tick_host(index); });
 }
@@ -373,8 +383,8 @@
                                    .body = one.body};
         this->at(this->now + this->delay(), [this, to, message] {
             this->deliver(to, [this, to, message] {
-                this->carry_out(
-                    to, this->hosts[to].process->on_message(message, this->around(to), this->now));
+                this->carry_out(to, this->hosts[to].process->on_message(message, this->around(to),
+                                                                        this->drifted(to)));
             });
         });
     }
@@ -393,9 +403,9 @@
     const auto answer = [this, from, incarnation](std::uint64_t call, const store_result& result) {
         this->deliver(from, [this, from, incarnation, call, result] {
             if (this->hosts[from].incarnation == incarnation) {
-                this->carry_out(
-                    from, this->hosts[from].process->on_store({.call = call, .result = result},
-                                                              this->around(from), this->now));
+                this->carry_out(from, this->hosts[from].process->on_store(
+                                          {.call = call, .result = result}, this->around(from),
+                                          this->drifted(from)));
             }
         });
     };
@@ -460,7 +470,7 @@
                     from,
                     this->hosts[from].process->on_server(
                         {.server = call.server, .sequence = call.what.sequence, .answer = result},
-                        this->around(from), this->now));
+                        this->around(from), this->drifted(from)));
             }
         });
     };
@@ -469,7 +479,7 @@
         return;
     }
     const auto take = [this, to, answer, what = one.what] {
-        const auto result = this->servers[to].take(what, this->now);
+        const auto result = this->servers[to].take(what, this->drifted(to));
         this->at(this->now + this->delay(), [answer, result] { answer(result); });
     };
     this->at(this->now + this->delay(), [this, to, take] {
@@ -588,8 +598,8 @@
 {
     for (const auto key : this->keys) {
         unsigned owners = 0;
-        for (const auto& server : this->servers) {
-            owners += server.fence_of(key, this->now) != 0 ? 1 : 0;
+        for (unsigned i = 0; i < this->settings.servers; ++i) {
+            owners += this->servers[i].fence_of(key, this->drifted(i)) != 0 ? 1 : 0;
         }
         if (owners > 1) {
             this->fail("two backend servers hold a live grant for a key");
@@ -611,7 +621,8 @@
                 const auto& owner = owner_of(*document, slice);
                 const auto until = host.may_send_until.find(owner);
                 const bool sends = !document->slices[slice].moving_to &&
-                                   until != host.may_send_until.end() && this->now < until->second;
+                                   until != host.may_send_until.end() &&
+                                   this->drifted(i) < until->second;
                 if (!sends) {
                     continue;
                 }
@@ -650,11 +661,12 @@
 inline void world::check_coordinators()
 {
     std::set<backend_server_id> coordinated;
-    for (const auto& host : this->hosts) {
+    for (unsigned index = 0; index < this->settings.hosts; ++index) {
+        const auto& host = this->hosts[index];
         if (!host.process) {
             continue;
         }
-        for (const auto& hint : host.process->coordinated(this->now)) {
+        for (const auto& hint : host.process->coordinated(this->drifted(index))) {
             if (!coordinated.insert(hint.server).second) {
                 this->fail("two hosts have authority over a backend server");
             }
@@ -692,12 +704,13 @@
             const auto server = index_of(owner.value);
             const auto until = host.may_send_until.find(owner);
             const bool may_send = !document->slices[slice].moving_to &&
-                                  until != host.may_send_until.end() && this->now < until->second;
+                                  until != host.may_send_until.end() &&
+                                  this->drifted(i) < until->second;
             const bool reachable =
                 !this->active(fault_kind::server_frozen, server) && this->reaches_server(i, server);
-            const bool willing =
-                !this->settings.checks_fences ||
-                this->servers[server].fence_of(hash, this->now) == document->slices[slice].fence;
+            const bool willing = !this->settings.checks_fences ||
+                                 this->servers[server].fence_of(hash, this->drifted(server)) ==
+                                     document->slices[slice].fence;
             if (may_send && reachable && willing) {
                 return true;
             }
