--- a/bench/assignment_bench.cpp
+++ b/bench/assignment_bench.cpp
@@ -78,6 +78,7 @@
     double doubled = 0.0; ///< seconds that a mean request's key has two owners
     milliseconds longest_away{0};
     std::size_t slices = 0;
+    std::size_t writes = 0; ///< of the document
 };
 
 description describe(std::size_t servers)
@@ -186,6 +187,7 @@
 
     void complete_moves()
     {
+        bool any_complete = false;
         for (auto& one : this->document.slices) {
             const auto due = this->moving_until.find(one.first);
             if (one.moving_to && due != this->moving_until.end() && this->now >= due->second) {
@@ -193,8 +195,10 @@
                 one.moving_to.reset();
                 ++one.fence;
                 this->moving_until.erase(due);
+                any_complete = true;
             }
         }
+        this->present().writes += any_complete ? 1 : 0;
     }
 
     void report()
@@ -242,6 +246,7 @@
         }
         this->document = std::move(*next);
         this->rates.clear();
+        ++this->present().writes;
         for (std::size_t i = 0; i < this->document.slices.size(); ++i) {
             const auto& one = this->document.slices[i];
             if (one.moving_to && !this->moving_until.contains(one.first)) {
@@ -381,11 +386,12 @@
 {
     for (const auto& one : phases) {
         auto& seen = result[one.name];
-        std::printf("| %s | %s | %.2f | %.2f | %.2f | %.2f | %.3f | %.3f | %.3f | %lld | %zu |\n",
-                    row.name, one.name, mean(seen.imbalance), quantile(seen.imbalance, 0.95),
-                    quantile(seen.imbalance, 1.0), share_above(seen.imbalance, 1.25),
-                    seen.moved_width, seen.away, seen.doubled,
-                    static_cast<long long>(seen.longest_away.count()), seen.slices);
+        std::printf(
+            "| %s | %s | %.2f | %.2f | %.2f | %.2f | %.3f | %.3f | %.3f | %lld | %zu | %zu |\n",
+            row.name, one.name, mean(seen.imbalance), quantile(seen.imbalance, 0.95),
+            quantile(seen.imbalance, 1.0), share_above(seen.imbalance, 1.25), seen.moved_width,
+            seen.away, seen.doubled, static_cast<long long>(seen.longest_away.count()), seen.slices,
+            seen.writes);
     }
 }
 
@@ -421,8 +427,9 @@
             one.servers, one.exponent, keys, bound, hot_keys);
         std::printf("| policy | phase | imbalance mean | p95 | most | share of time above 1.25 | "
                     "share of keys moved | "
-                    "s away (mean request) | s with two owners | longest away ms | slices |\n");
-        std::printf("|---|---|---|---|---|---|---|---|---|---|---|\n");
+                    "s away (mean request) | s with two owners | longest away ms | slices | "
+                    "document writes |\n");
+        std::printf("|---|---|---|---|---|---|---|---|---|---|---|---|\n");
         for (const auto& row : policies) {
             auto result = run{row.kind, one.servers, one.exponent}.result();
             print(row, result);
