--- a/src/assignment_draft.cpp
+++ b/src/assignment_draft.cpp
@@ -15,7 +15,7 @@
 constexpr double failure_domain_weight = 0.05;
 
 /// Concentrated splits in a row that show a slice's load to be one key's.
-constexpr std::uint32_t splits_to_single_key = 2;
+constexpr std::uint32_t splits_to_single_key = 3;
 
 const double whole_space = std::ldexp(1.0, std::numeric_limits<key_hash>::digits);
 
--- a/test/assigner_test.cpp
+++ b/test/assigner_test.cpp
@@ -204,6 +204,73 @@
 
 namespace {
 
+/// Runs plans in virtual time under a fixed load; returns the document at the end.
+template <class Load>
+partition settle(const description& all, partition present, const Load& load, int rounds)
+{
+    assigner subject{{}};
+    for (int i = 1; i <= rounds; ++i) {
+        const auto now = at(seconds{2 * i});
+        for (const auto& report : reports_of(present, load)) {
+            subject.on_report(report, now);
+        }
+        present = complete_moves(subject.plan(present, all, now).value_or(present));
+    }
+    return present;
+}
+
+template <class Load>
+double imbalance(const partition& document, const Load& load)
+{
+    double total = 0.0;
+    double most = 0.0;
+    const auto reports = reports_of(document, load);
+    for (const auto& report : reports) {
+        double sum = 0.0;
+        for (const auto& one : report.slices) {
+            sum += one.requests_per_second;
+        }
+        total += sum;
+        most = std::max(most, sum);
+    }
+    return most * static_cast<double>(reports.size()) / total;
+}
+
+} // namespace
+
+TEST(assigner_test, balances_hot_ranges_and_hot_keys)
+{
+    constexpr key_hash hot_key = 0x123456789abcdef0;
+    constexpr key_hash other_key = hot_key + (key_hash{1} << 48U);
+    const auto even = [](key_hash first, key_hash last) {
+        return 1000.0 * std::ldexp(static_cast<double>(last - first) + 1.0, -64);
+    };
+    const auto key = [](key_hash first, key_hash last, key_hash hash, double rate) {
+        return first <= hash && hash <= last ? rate : 0.0;
+    };
+    const auto hot_range = [&even](key_hash first, key_hash last) {
+        constexpr key_hash end = key_hash{1} << 58U;
+        const auto inside = first < end ? even(first, std::min(last, end)) : 0.0;
+        return even(first, last) + 32.0 * inside;
+    };
+    const auto one_key = [&](key_hash first, key_hash last) {
+        return even(first, last) + key(first, last, hot_key, 90.0);
+    };
+    const auto two_keys = [&](key_hash first, key_hash last) {
+        return one_key(first, last) + key(first, last, other_key, 90.0);
+    };
+    const auto all = describe(10);
+    const auto start = first_document(all);
+    constexpr int rounds = 60;
+    CHECK_TRUE(imbalance(settle(all, start, hot_range, rounds), hot_range) <= 1.25);
+    CHECK_TRUE(imbalance(settle(all, start, one_key, rounds), one_key) <= 1.25);
+    const auto apart = settle(all, start, two_keys, rounds);
+    CHECK_TRUE(imbalance(apart, two_keys) <= 1.25);
+    CHECK_TRUE(apart.slices.size() <= 4 * start.slices.size() + 16);
+}
+
+namespace {
+
 struct world {
     description all;
     partition present;
