assigner: move no slice on a guessed load; make room for a hot slice by an exchange

Change: balancing takes only slices whose load is measured or unchanged since the start; when nothing fits and nothing splits, colder slices leave the emptiest server until the hot one fits there.

--- a/include/figreach/assignment_draft.h
+++ b/include/figreach/assignment_draft.h
@@ -27,6 +27,7 @@
     double load = 0.0;
     double width = 0.0;
     bool measured = false;   ///< the load comes from reports on this very slice
+    bool settled = false;    ///< measured, or unchanged since the start: the load is no guess
     bool single_key = false; ///< nearly all load is one key's: splitting is of no use
 };
 
--- a/src/assignment_draft.cpp
+++ b/src/assignment_draft.cpp
@@ -43,6 +43,7 @@
         out.load = (1.0 - width_part) * measured_part + width_part * out.width;
     }
     out.measured = estimate.measured;
+    out.settled = estimate.measured || estimate.since == monotonic_time{};
     out.single_key = estimate.concentrated_splits >= splits_to_single_key;
     return out;
 }
@@ -144,9 +145,11 @@
     right.width = width_share(at, last);
     right.load = left.load * right.width / left.width;
     right.measured = false;
+    right.settled = false;
     left.width -= right.width;
     left.load -= right.load;
     left.measured = false;
+    left.settled = false;
     const auto after = static_cast<std::ptrdiff_t>(index) + 1;
     this->parts.insert(this->parts.begin() + after, right);
     auto second = this->draft.slices[index];
--- a/src/assignment_steps.cpp
+++ b/src/assignment_steps.cpp
@@ -112,15 +112,19 @@
     }
 }
 
+/// Whether slices whose load is only estimated may be chosen.
+enum class guesses : std::uint8_t { left_out, taken };
+
 /// The hottest movable slice of a server that fits into the bounds on load and width.
 std::optional<std::size_t> hottest_fitting(const assignment_draft& draft, std::uint32_t server,
-                                           double most_load, double most_width)
+                                           double most_load, double most_width, guesses estimated)
 {
     std::optional<std::size_t> best;
     for (std::size_t i = 0; i < draft.document().slices.size(); ++i) {
         const auto& part = draft.shares(i);
-        const bool fits =
-            is_movable(draft, i, server) && part.load <= most_load && part.width <= most_width;
+        const bool known = part.settled || estimated == guesses::taken;
+        const bool fits = known && is_movable(draft, i, server) && part.load <= most_load &&
+                          part.width <= most_width;
         if (fits && (!best || part.load > draft.shares(*best).load)) {
             best = i;
         }
@@ -158,7 +162,7 @@
                         double width_left)
 {
     const auto load_left = draft.fair_load(to) - draft.servers()[to].load;
-    if (const auto index = hottest_fitting(draft, from, load_left, width_left)) {
+    if (const auto index = hottest_fitting(draft, from, load_left, width_left, guesses::taken)) {
         draft.move(*index, to);
         return true;
     }
@@ -219,13 +223,60 @@
     }
     const auto excess = draft.servers()[from].load - draft.fair_load(from);
     const auto room = draft.fair_load(*to) * goal - draft.servers()[*to].load;
-    const auto index = hottest_fitting(draft, from, std::min(excess, room), most_width);
+    const auto index =
+        hottest_fitting(draft, from, std::min(excess, room), most_width, guesses::left_out);
     if (!index) {
         return std::nullopt;
     }
     return load_move{.slice = *index, .to = *to};
 }
 
+/// The least full server that may receive slices, apart from two.
+std::optional<std::uint32_t> emptiest_other(const assignment_draft& draft, std::uint32_t one,
+                                            std::uint32_t another)
+{
+    std::optional<std::uint32_t> best;
+    for (std::uint32_t i = 0; i < draft.servers().size(); ++i) {
+        const bool suits = draft.may_receive(i) && i != one && i != another;
+        if (suits && (!best || draft.fullness(i) < draft.fullness(*best))) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+/// Makes room at the emptiest server for the hottest slice of a full one, by moving colder slices
+/// off it, and moves the slice there. Returns the moved width, or nothing when it does not fit.
+std::optional<double> exchange_load(assignment_draft& draft, std::uint32_t from, double goal,
+                                    double churn)
+{
+    const auto to = draft.emptiest();
+    const auto hot = hottest_fitting(draft, from, draft.fair_load(from), churn, guesses::left_out);
+    if (!to || *to == from || !hot) {
+        return std::nullopt;
+    }
+    auto changed = draft;
+    const auto hot_load = draft.shares(*hot).load;
+    const auto most = draft.fair_load(*to) * goal - hot_load;
+    double moved = draft.shares(*hot).width;
+    while (changed.servers()[*to].load > most) {
+        const auto cold =
+            hottest_fitting(changed, *to, hot_load / 2, churn - moved, guesses::left_out);
+        const auto target = emptiest_other(changed, *to, from);
+        if (!cold || !target) {
+            return std::nullopt;
+        }
+        moved += changed.shares(*cold).width;
+        changed.move(*cold, *target);
+    }
+    changed.move(*hot, *to);
+    if (changed.fullness(*changed.fullest()) >= draft.fullness(from)) {
+        return std::nullopt;
+    }
+    draft = std::move(changed);
+    return moved;
+}
+
 /// The hottest measured slice of a server that is too hot to be moved and wide enough to split.
 std::optional<std::size_t> slice_to_split(const assignment_draft& draft, std::uint32_t server)
 {
@@ -253,16 +304,18 @@
 }
 
 /// Splits the hottest slice of a server if it alone is hotter than what the server has too much.
-void split_hottest(assignment_draft& draft, std::uint32_t server, const assigner_settings& settings,
+bool split_hottest(assignment_draft& draft, std::uint32_t server, const assigner_settings& settings,
                    std::size_t described_slices)
 {
     const auto most = static_cast<double>(described_slices) * settings.most_slices;
     const auto excess = draft.servers()[server].load - draft.fair_load(server);
     const auto index = slice_to_split(draft, server);
     const bool has_room = static_cast<double>(draft.document().slices.size()) < most;
-    if (has_room && index && draft.shares(*index).load > excess) {
+    const bool splits = has_room && index && draft.shares(*index).load > excess;
+    if (splits) {
         split_evenly(draft, *index, settings.split_parts);
     }
+    return splits;
 }
 
 bool is_balanced(const assignment_draft& draft, std::uint32_t fullest, double most, double least)
@@ -344,8 +397,8 @@
             continue;
         }
         const bool waits_for_budget = find_load_move(draft, *from, goal, whole_space).has_value();
-        if (!waits_for_budget) {
-            split_hottest(draft, *from, settings, described_slices);
+        if (!waits_for_budget && !split_hottest(draft, *from, settings, described_slices)) {
+            moved += exchange_load(draft, *from, goal, churn - moved).value_or(0.0);
         }
         stuck.insert(*from);
     }
