Bound the history without encoding each record; broken variants stop at the first wrong run

Cause: under AddressSanitizer history_test took 41 s and the broken variants 60 s on a busy machine. Change: the size of a record is bounded from its texts; the search for a wrong run ends when it has found one, which is all that is asserted. The correct variant still runs all 400. An earlier failure of configuration_change_test in the ASan tree was a stale object (source saved while it compiled; nm showed no transition_faults); green after a rebuild.

--- a/src/history.cpp
+++ b/src/history.cpp
@@ -6,12 +6,14 @@
 
 namespace {
 
-/// Upper bound of what one record adds to the encoded history: its field tag and length.
-constexpr std::size_t record_overhead = 8;
+/// Upper bound of the tags, lengths and numbers in one encoded record.
+constexpr std::size_t record_overhead = 64;
 
+/// Upper bound of what one record adds to the encoded history.
 std::size_t size_of(const description_record& record)
 {
-    return encode(record).size() + record_overhead;
+    return record.toml.size() + record.reason.size() + record.changed_by.size() +
+           record.writer.size() + record_overhead;
 }
 
 } // namespace
--- a/test/configuration_change_test.cpp
+++ b/test/configuration_change_test.cpp
@@ -24,21 +24,22 @@
             replace_description{.toml = changed_text("9"), .based_on = 1}};
 }
 
-/// Runs with wrong results among many with random faults.
-int wrong_runs(variant kind)
+/// Whether any of many runs with random faults gives a wrong result.
+bool any_run_is_wrong(variant kind)
 {
     constexpr int runs = 400;
     constexpr std::size_t script_length = 120;
     std::mt19937 random{20261203};
-    int wrong = 0;
     for (int i = 0; i < runs; ++i) {
         std::vector<std::uint8_t> script(script_length);
         for (auto& byte : script) {
             byte = static_cast<std::uint8_t>(random());
         }
-        wrong += world{three_operators(), script, kind}.run().empty() ? 0 : 1;
+        if (!world{three_operators(), script, kind}.run().empty()) {
+            return true;
+        }
     }
-    return wrong;
+    return false;
 }
 
 change_request request_for(configuration_edit edit)
@@ -174,14 +175,14 @@
         const auto wrong = world{three_operators(), script, variant::correct}.run();
         RC_ASSERT(wrong == std::string{});
     });
-    LONGS_EQUAL(0, wrong_runs(variant::correct));
+    CHECK_FALSE(any_run_is_wrong(variant::correct));
 }
 
 TEST(configuration_change_test, the_checks_catch_broken_variants)
 {
-    CHECK(wrong_runs(variant::blind_put) > 0);
-    CHECK(wrong_runs(variant::no_read_again) > 0);
-    CHECK(wrong_runs(variant::absent_is_refused) > 0);
+    CHECK(any_run_is_wrong(variant::blind_put));
+    CHECK(any_run_is_wrong(variant::no_read_again));
+    CHECK(any_run_is_wrong(variant::absent_is_refused));
 }
 
 TEST(configuration_change_test, edits_of_two_operators_both_take_effect)
