Answer at the deadline of an unfinished body; heed changed slots; fix lint

Cause: Beast closes a socket whose read times out, so a caller that sent too slowly got no final answer; a changed number of slots was ignored by a link that existed; a session that ended by an exception stayed listed for draining.

Change: deadline_guard cancels the read and leaves the socket open: a short body that is not read in time is refused as not run, a long one as deadline_exceeded. server_link::set_slots, called by link_board. A coordinator's outcome_unknown counts as a lost send, so that an idempotent request is retried within the budget. Sessions are listed by a guard.

--- a/bench/request_bench.cpp
+++ b/bench/request_bench.cpp
@@ -202,7 +202,7 @@
                       [this, id, tries] { this->try_blindly(id, tries - 1); });
     }
 
-    void execute(std::size_t id, std::function<void(bool)> done)
+    void execute(std::size_t id, const std::function<void(bool)>& done)
     {
         const auto index = this->requests[id]->server;
         auto& server = this->backends[index];
--- a/include/figreach/runtime/server_link.h
+++ b/include/figreach/runtime/server_link.h
@@ -39,6 +39,7 @@
     /// Frees the slot of an admitted request; a second call for it is ignored.
     void finish(ticket id, gate_ending ending, nanoseconds latency);
     void set_authority(const gate_authority& authority);
+    void set_slots(std::uint32_t slots);
     /// Whether a request may be sent at this very moment.
     [[nodiscard]] bool has_authority() const;
     /// A ticket that this link has not given out before.
--- a/include/figreach/server_gate.h
+++ b/include/figreach/server_gate.h
@@ -79,6 +79,8 @@
     /// Removes a waiting request whose caller left. Does nothing for another ticket.
     void leave(ticket id);
     [[nodiscard]] gate_decisions set_authority(const gate_authority& authority, monotonic_time now);
+    /// The description gives the server another number of slots.
+    [[nodiscard]] gate_decisions set_slots(std::uint32_t slots, monotonic_time now);
     /// An answer named the server's incarnation; a new one starts the cold cap anew,
     /// at half of the slots when none was known before.
     void note_incarnation(std::uint64_t seen, monotonic_time now);
--- a/src/concurrency_limit.cpp
+++ b/src/concurrency_limit.cpp
@@ -18,6 +18,14 @@
 {
 }
 
+void concurrency_limit::set_most(std::uint32_t most)
+{
+    const bool warm = !this->is_cold();
+    this->settings.most = most;
+    this->cold_cap = warm ? most : std::min(this->cold_cap, most);
+    this->adaptive = std::min(this->adaptive, static_cast<double>(most));
+}
+
 void concurrency_limit::restart_cold(monotonic_time now, std::uint32_t from)
 {
     this->cold_cap = std::clamp(from, 1U, this->settings.most);
--- a/src/runtime/link_board.cpp
+++ b/src/runtime/link_board.cpp
@@ -12,6 +12,7 @@
         if (!link) {
             link = std::make_shared<server_link>(gate_settings{.slots = server.slots});
         }
+        link->set_slots(server.slots);
     }
 }
 
--- a/src/runtime/relay.cpp
+++ b/src/runtime/relay.cpp
@@ -2,10 +2,12 @@
 
 #include <array>
 #include <charconv>
+#include <memory>
 #include <string_view>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -43,6 +45,29 @@
     return !failed || failed == http::error::need_buffer;
 }
 
+/// Cancels what is under way on a stream at a deadline, and leaves it open.
+class deadline_guard {
+public:
+    deadline_guard(beast::tcp_stream& stream, monotonic_time deadline)
+        : timer{stream.get_executor(), deadline}
+    {
+        stream.expires_never();
+        this->timer.async_wait(
+            [kept = this->active, &stream](const boost::system::error_code& cancelled) {
+                if (!cancelled && *kept) {
+                    stream.cancel();
+                }
+            });
+    }
+    ~deadline_guard() { *this->active = false; }
+    deadline_guard(const deadline_guard&) = delete;
+    deadline_guard& operator=(const deadline_guard&) = delete;
+
+private:
+    std::shared_ptr<bool> active = std::make_shared<bool>(true);
+    asio::steady_timer timer;
+};
+
 /// Answers 100 to a caller that waits for it before it sends its body.
 asio::awaitable<bool> ask_for_body(caller_side caller)
 {
@@ -57,8 +82,10 @@
 /// Reads the caller's body and writes it upstream, one chunk at a time.
 asio::awaitable<relay_ending> relay_body(caller_side caller, upstream_connection& upstream,
                                          http::request_serializer<http::buffer_body>& writer,
-                                         http::request<http::buffer_body>& request)
+                                         http::request<http::buffer_body>& request,
+                                         monotonic_time deadline)
 {
+    const deadline_guard guard{caller.stream, deadline};
     std::array<char, chunk_bytes> chunk{};
     while (!writer.is_done()) {
         if (!caller.parser.is_done()) {
@@ -101,7 +128,7 @@
 }
 
 asio::awaitable<relay_ending> send_request(caller_side caller, upstream_connection& upstream,
-                                           const http::fields& fields)
+                                           const http::fields& fields, monotonic_time deadline)
 {
     const auto& from = caller.parser.get();
     if (caller.short_body != nullptr) {
@@ -139,7 +166,7 @@
     if (failed) {
         co_return relay_ending::lost;
     }
-    co_return co_await relay_body(caller, upstream, writer, request);
+    co_return co_await relay_body(caller, upstream, writer, request, deadline);
 }
 
 /// Reads the rest of a short answer, so that it is passed on whole or not at all.
@@ -382,7 +409,8 @@
         result.keep_upstream = true;
         co_return result;
     }
-    const auto sent = co_await send_request(caller, upstream, order.fields);
+    const auto sent = co_await send_request(caller, upstream, order.fields, deadline);
+    caller.stream.expires_at(deadline);
     if (sent == relay_ending::caller_gone) {
         const bool late = monotonic_time::clock::now() >= deadline;
         result.ending = late ? relay_ending::late : sent;
@@ -403,6 +431,11 @@
     if (co_await take_refusal(upstream, answer, result)) {
         co_return result;
     }
+    if (answer.get()[field::error] == name_of(error_kind::outcome_unknown)) {
+        // Another entry host lost the request; the connection to it is not used again.
+        result.ending = relay_ending::lost;
+        co_return result;
+    }
     result.status = answer.get().result_int();
     const bool upstream_keeps = answer.get().keep_alive() && sent == relay_ending::answered;
     result.ending = co_await pass_answer(caller, upstream, answer, order, result);
@@ -421,7 +454,7 @@
 
 asio::awaitable<std::optional<std::string>> read_ahead(caller_side caller, monotonic_time deadline)
 {
-    caller.stream.expires_at(deadline);
+    const deadline_guard guard{caller.stream, deadline};
     if (!co_await ask_for_body(caller)) {
         co_return std::nullopt;
     }
--- a/src/runtime/request_plane.cpp
+++ b/src/runtime/request_plane.cpp
@@ -91,18 +91,31 @@
         }
     }
 
+    /// Keeps a session in the set of those that live.
+    struct listed {
+        listed(std::set<caller_session*>& all_, caller_session& one_) : all{all_}, one{&one_}
+        {
+            this->all.insert(this->one);
+        }
+        ~listed() { this->all.erase(this->one); }
+        listed(const listed&) = delete;
+        listed& operator=(const listed&) = delete;
+
+        std::set<caller_session*>& all;
+        caller_session* one;
+    };
+
     asio::awaitable<void> serve(tcp::socket socket)
     {
         caller_session session{this->home, std::move(socket)};
-        this->sessions.insert(&session);
+        const listed entry{this->sessions, session};
         co_await session.run();
-        this->sessions.erase(&session);
     }
 
+    std::set<caller_session*> sessions; ///< outlives the sessions, which end with `io`
     asio::io_context io{1};
     connection_pool pool;
     request_thread home;
-    std::set<caller_session*> sessions;
     tcp::acceptor for_callers;
     tcp::acceptor for_hosts;
 };
--- a/src/runtime/server_link.cpp
+++ b/src/runtime/server_link.cpp
@@ -1,6 +1,7 @@
 #include "figreach/runtime/server_link.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -30,6 +31,12 @@
 /// Shortest time between two looks at a gate on behalf of one waiting request.
 constexpr milliseconds least_wait{1};
 
+gate_settings with_random_seed(gate_settings settings)
+{
+    settings.seed = std::random_device{}();
+    return settings;
+}
+
 ticket ticket_of(const gate_decision& decision)
 {
     return std::visit([](const auto& one) { return one.id; }, decision);
@@ -37,7 +44,7 @@
 
 } // namespace
 
-server_link::server_link(gate_settings settings) : gate{settings} {}
+server_link::server_link(gate_settings settings) : gate{with_random_seed(settings)} {}
 
 ticket server_link::next_ticket()
 {
@@ -111,6 +118,16 @@
     this->deliver(decisions);
 }
 
+void server_link::set_slots(std::uint32_t slots)
+{
+    gate_decisions decisions;
+    {
+        const std::lock_guard lock{this->guard};
+        decisions = this->gate.set_slots(slots, monotonic_time::clock::now());
+    }
+    this->deliver(decisions);
+}
+
 bool server_link::has_authority() const
 {
     const std::lock_guard lock{this->guard};
--- a/src/server_gate.cpp
+++ b/src/server_gate.cpp
@@ -86,6 +86,15 @@
     return out;
 }
 
+gate_decisions server_gate::set_slots(std::uint32_t slots, monotonic_time now)
+{
+    gate_decisions out;
+    this->settings.slots = slots;
+    this->limiter.set_most(slots);
+    this->start_waiting(out, now);
+    return out;
+}
+
 void server_gate::note_incarnation(std::uint64_t seen, monotonic_time now)
 {
     if (seen == this->incarnation) {
@@ -199,7 +208,7 @@
 
 std::optional<gate_request> server_gate::displaced_by(const gate_request& request) const
 {
-    const auto worst = this->queue.first_to_shed();
+    auto worst = this->queue.first_to_shed();
     if (!worst || worst->shed_order < request.shed_order) {
         return std::nullopt;
     }
