--- a/test/peer_codec_test.cpp
+++ b/test/peer_codec_test.cpp
@@ -21,8 +21,9 @@
 std::vector<Item> some(Make make)
 {
     std::vector<Item> out;
-    const auto count = *rc::gen::inRange(0, 4);
-    for (int i = 0; i < count; ++i) {
+    const auto count = *rc::gen::inRange<std::size_t>(0, 4);
+    out.reserve(count);
+    for (std::size_t i = 0; i < count; ++i) {
         out.push_back(make());
     }
     return out;
--- a/test/runtime/peer_link_test.cpp
+++ b/test/runtime/peer_link_test.cpp
@@ -65,10 +65,10 @@
 }
 
 struct security_row {
-    const char* name;
+    const char* name = "";
     peer_security security;
-    const char* address;
-    bool usable;
+    const char* address = "";
+    bool usable = false;
 };
 
 const security_row security_rows[] = {
--- a/test/standin/backend_state_test.cpp
+++ b/test/standin/backend_state_test.cpp
@@ -56,9 +56,9 @@
 };
 
 struct grant_row {
-    const char* name;
+    const char* name = "";
     grant second;
-    bool accepted;
+    bool accepted = false;
 };
 
 const grant_row grant_rows[] = {
