--- a/include/figreach/runtime/caller_session.h
+++ b/include/figreach/runtime/caller_session.h
@@ -17,6 +17,7 @@
 #include "figreach/runtime/connection_pool.h"
 #include "figreach/runtime/link_board.h"
 #include "figreach/runtime/relay.h"
+#include "figreach/runtime/request_metrics.h"
 #include "figreach/runtime/route_board.h"
 
 namespace figreach {
@@ -34,6 +35,7 @@
     const link_board& links;
     connection_pool& pool;
     request_plane_state& plane;
+    request_metrics& counts;
     std::shared_ptr<const routing_snapshot> snapshot;
     std::uint64_t seen_generation = 0;
     retry_budget budget{{}};
@@ -42,6 +44,14 @@
     std::map<backend_server_id, std::uint32_t> outstanding;
 };
 
+/// How the request under way was served, for the counts.
+struct served_request {
+    tenant_id tenant;
+    class_id request_class;
+    bool forwarded = false;               ///< by another entry host
+    std::optional<request_result> result; ///< empty: nobody was answered
+};
+
 /// Serves one connection of a caller or of a forwarding entry host until it closes.
 class caller_session {
 public:
@@ -54,6 +64,8 @@
 private:
     struct exchange;
 
+    static constexpr milliseconds default_retry_after{200};
+
     boost::asio::awaitable<bool> serve_one();
     boost::asio::awaitable<bool> check_and_serve(caller_side caller, monotonic_time arrival);
     boost::asio::awaitable<bool> serve_checked(caller_side caller, const checked_request& request,
@@ -69,6 +81,11 @@
     boost::asio::awaitable<attempt_event> forward(exchange& one);
     boost::asio::awaitable<std::unique_ptr<upstream_connection>> connect(const std::string& address,
                                                                          monotonic_time deadline);
+    /// Refuses the request and notes the refusal for the counts.
+    boost::asio::awaitable<bool> give_up(caller_side caller, error_kind kind,
+                                         milliseconds retry_after = default_retry_after);
+    /// Counts the request that was just served. One that another host forwarded is counted there.
+    void count(monotonic_time arrival);
     boost::asio::awaitable<void> linger();
     [[nodiscard]] attempt_event look_up(exchange& one);
     void spread(exchange& one);
@@ -77,6 +94,7 @@
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     bool idle = false;
+    served_request served; ///< the request under way
 };
 
 } // namespace figreach
--- a/include/figreach/runtime/request_plane.h
+++ b/include/figreach/runtime/request_plane.h
@@ -8,6 +8,7 @@
 
 #include "figreach/ids.h"
 #include "figreach/runtime/link_board.h"
+#include "figreach/runtime/metrics.h"
 #include "figreach/runtime/route_board.h"
 
 namespace figreach {
@@ -24,9 +25,10 @@
 /// The threads that serve callers and forwarding entry hosts.
 class request_plane {
 public:
-    /// The boards outlive the plane. Throws boost::system::system_error when it cannot listen.
+    /// The boards and the page of metrics outlive the plane. Throws boost::system::system_error
+    /// when it cannot listen.
     request_plane(const request_plane_settings& settings, const route_board& routes,
-                  const link_board& links);
+                  const link_board& links, metrics& page);
     ~request_plane();
     request_plane(const request_plane&) = delete;
     request_plane& operator=(const request_plane&) = delete;
--- a/src/rpc/entry_host.cpp
+++ b/src/rpc/entry_host.cpp
@@ -72,7 +72,7 @@
             security_of(settings)},
       store{settings.store_address, store_timeout, this->from_store},
       servers{this->from_servers},
-      requests{plane_settings(settings), this->routes, this->links},
+      requests{plane_settings(settings), this->routes, this->links, this->page},
       admin{settings.admin_address, this->page,
             [this] { return this->has_routes && !this->leaving; }},
       duty{[this] { this->run(); }}
--- a/src/runtime/caller_session.cpp
+++ b/src/runtime/caller_session.cpp
@@ -22,7 +22,7 @@
 
 constexpr std::uint32_t most_header_bytes = 16 * 1024;
 constexpr seconds idle_limit{60};
-constexpr milliseconds default_retry_after{200};
+constexpr milliseconds least_retry_after{200};
 constexpr milliseconds linger_limit{1000};
 constexpr std::size_t most_linger_bytes = 1024 * 1024;
 constexpr std::size_t linger_chunk_bytes = 16 * 1024;
@@ -105,7 +105,7 @@
         return answer_ended{};
     case relay_ending::refused:
         return refused_not_run{.kind = refused_kind(result.refused_as),
-                               .retry_after = std::max(result.retry_after, default_retry_after),
+                               .retry_after = std::max(result.retry_after, least_retry_after),
                                .replayable = replayable};
     case relay_ending::not_sent:
         return not_sent{.kind = error_kind::no_owner};
@@ -260,34 +260,39 @@
     const auto [failed, count] =
         co_await http::async_read_header(this->stream, this->buffer, parser, no_throw);
     this->idle = false;
+    this->served = {};
     const caller_side caller{.stream = this->stream, .buffer = this->buffer, .parser = parser};
     if (failed) {
         const bool malformed = failed != http::error::end_of_stream &&
                                failed != http::error::partial_message &&
                                failed.category() == make_error_code(http::error{}).category();
         if (malformed) {
-            co_await refuse(caller, kind_of(failed), default_retry_after);
+            co_await this->give_up(caller, kind_of(failed));
+            this->count(monotonic_time::clock::now());
         }
         co_return false;
     }
     const counted in_flight{this->home.plane.in_flight};
-    co_return co_await this->check_and_serve(caller, monotonic_time::clock::now());
+    const auto arrival = monotonic_time::clock::now();
+    const bool keep = co_await this->check_and_serve(caller, arrival);
+    this->count(arrival);
+    co_return keep;
 }
 
 asio::awaitable<bool> caller_session::check_and_serve(caller_side caller, monotonic_time arrival)
 {
     if (this->home.plane.draining) {
         caller.parser.get().keep_alive(false);
-        co_return co_await refuse(caller, error_kind::host_stopping, default_retry_after);
+        co_return co_await this->give_up(caller, error_kind::host_stopping);
     }
     this->home.routes.refresh(this->home.snapshot, this->home.seen_generation);
     if (!this->home.snapshot) {
-        co_return co_await refuse(caller, error_kind::no_owner, default_retry_after);
+        co_return co_await this->give_up(caller, error_kind::no_owner);
     }
     const auto held = this->home.snapshot;
     const auto checked = check_request(head_of(caller.parser), *held->shared);
     if (const auto* wrong = std::get_if<error_kind>(&checked)) {
-        co_return co_await refuse(caller, *wrong, default_retry_after);
+        co_return co_await this->give_up(caller, *wrong);
     }
     co_return co_await this->serve_checked(caller, std::get<checked_request>(checked), arrival);
 }
@@ -296,12 +301,15 @@
                                                     const checked_request& request,
                                                     monotonic_time arrival)
 {
+    this->served.tenant = request.payer->name;
+    this->served.request_class = request.request_class;
+    this->served.forwarded = request.hops > 0;
     const auto deadline = arrival + request.allowed;
     std::optional<std::string> body;
     if (reads_ahead(caller.parser)) {
         body = co_await read_ahead(caller, deadline);
         if (!body && monotonic_time::clock::now() >= deadline) {
-            co_return co_await refuse(caller, error_kind::deadline_expired, default_retry_after);
+            co_return co_await this->give_up(caller, error_kind::deadline_expired);
         }
         if (!body) {
             co_return false;
@@ -328,10 +336,11 @@
     for (;;) {
         const auto action = one.attempts.handle(event, monotonic_time::clock::now());
         if (const auto* error = std::get_if<give_error>(&action)) {
-            co_return co_await refuse(one.caller, error->kind, error->retry_after);
+            co_return co_await this->give_up(one.caller, error->kind, error->retry_after);
         }
         if (const auto* over = std::get_if<conclude>(&action)) {
             if (one.replay) {
+                this->served.result = one.replay->answer.status;
                 co_return co_await replay(one.caller, one.replay->answer);
             }
             const bool keep = over->clean && one.keep_caller;
@@ -503,6 +512,9 @@
         this->home.pool.give_back(address, std::move(connection));
     }
     one.keep_caller = result.keep_caller;
+    if (result.ending == relay_ending::answered) {
+        this->served.result = result.status;
+    }
     co_return event_of(result, one.replayable);
 }
 
@@ -540,6 +552,9 @@
         this->home.pool.give_back(address, std::move(connection));
     }
     one.keep_caller = result.keep_caller;
+    if (result.ending == relay_ending::answered) {
+        this->served.result = result.status;
+    }
     co_return event_of(result, one.replayable);
 }
 
@@ -554,6 +569,22 @@
     }
 }
 
+asio::awaitable<bool> caller_session::give_up(caller_side caller, error_kind kind,
+                                              milliseconds retry_after)
+{
+    this->served.result = kind;
+    co_return co_await refuse(caller, kind, retry_after);
+}
+
+void caller_session::count(monotonic_time arrival)
+{
+    if (this->served.forwarded || !this->served.result) {
+        return;
+    }
+    this->home.counts.record(this->served.tenant, this->served.request_class, *this->served.result,
+                             monotonic_time::clock::now() - arrival);
+}
+
 /// Closes the connection so that an answer that is still under way is not destroyed by bytes that
 /// the caller sends and nobody reads.
 asio::awaitable<void> caller_session::linger()
--- a/src/runtime/request_plane.cpp
+++ b/src/runtime/request_plane.cpp
@@ -44,13 +44,14 @@
 class request_plane::worker {
 public:
     worker(const host_id& self, const request_plane_settings& settings, const route_board& routes,
-           const link_board& links, request_plane_state& state)
+           const link_board& links, request_plane_state& state, request_metrics& counts)
         : pool{io, most_idle_connections},
           home{.self = self,
                .routes = routes,
                .links = links,
                .pool = pool,
                .plane = state,
+               .counts = counts,
                .snapshot = nullptr,
                .random_state = std::random_device{}()},
           for_callers{listen(io, settings.caller_address)},
@@ -121,12 +122,12 @@
 };
 
 request_plane::request_plane(const request_plane_settings& settings, const route_board& routes,
-                             const link_board& links)
+                             const link_board& links, metrics& page)
     : state{std::make_unique<request_plane_state>()}, self{settings.self}
 {
     for (std::uint32_t i = 0; i < settings.threads; ++i) {
-        this->workers.push_back(
-            std::make_unique<worker>(this->self, settings, routes, links, *this->state));
+        this->workers.push_back(std::make_unique<worker>(this->self, settings, routes, links,
+                                                         *this->state, page.add_request_thread()));
     }
     for (auto& one : this->workers) {
         this->duties.emplace_back([&one] { one->run(); });
--- a/support/cluster.sh
+++ b/support/cluster.sh
@@ -117,14 +117,14 @@
 done
 
 ctl() {
-    "$programs/figreachctl" "$@" --by quickstart --token-file "$work/token" \
+    "$programs/figreachctl" "$@" --token-file "$work/token" \
         --host "$(address 33)" --host "$(address 43)" --host "$(address 53)"
 }
 
 # change VERB ...: tries until the change is accepted; entry hosts may still be starting.
 change() {
     for _ in $(seq 50); do
-        if ctl "$@" >"$work/change.log" 2>&1; then
+        if ctl "$@" --by "$(basename "$0")" >"$work/change.log" 2>&1; then
             return 0
         fi
         sleep 0.2
--- a/test/runtime/caller_session_test.cpp
+++ b/test/runtime/caller_session_test.cpp
@@ -385,3 +385,33 @@
     const auto got = read_all(running);
     CHECK_TRUE_TEXT(got.ends_with("hello"), got.c_str());
 }
+
+TEST(caller_session_test, sends_nothing_to_a_former_owner_after_waiting_for_a_slot)
+{
+    std::atomic<int> heads{0};
+    std::atomic<bool> released{false};
+    fake_upstream upstream{[&](tcp::socket& socket) {
+        std::string rest;
+        while (!read_head(socket, rest).empty()) {
+            ++heads;
+            wait_for([&] { return released.load(); });
+            write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+    }};
+    constexpr std::uint32_t one_slot = 1;
+    plane_fixture host{upstream.address(), {}, one_slot};
+    std::string first_answer;
+    std::string second_answer;
+    std::thread first{[&] { first_answer = host.ask(get); }};
+    wait_for([&] { return heads == 1; });
+    std::thread second{[&] { second_answer = host.ask(get); }};
+    wait_for([&] { return host.links.find({"b"})->state().waiting == 1; });
+    host.start_move();
+    released = true;
+    first.join();
+    second.join();
+    STRCMP_CONTAINS("200 OK", first_answer.c_str());
+    STRCMP_CONTAINS("no_owner", second_answer.c_str());
+    CHECK_EQUAL(1, heads.load());
+    STRCMP_CONTAINS("figreach_refusals_total", host.page.to_text().c_str());
+}
--- a/test/runtime/plane_fixture.h
+++ b/test/runtime/plane_fixture.h
@@ -35,6 +35,16 @@
     return acceptor.local_endpoint().port();
 }
 
+/// Waits for another thread; gives up after a generous time, so that a check fails instead.
+template <class Condition>
+void wait_for(Condition condition)
+{
+    constexpr int most_looks = 30000;
+    for (int i = 0; i < most_looks && !condition(); ++i) {
+        std::this_thread::sleep_for(milliseconds{1});
+    }
+}
+
 /// Ends a test that hangs: blocking reads and writes fail after a generous time.
 inline void set_watchdog(tcp::socket& socket)
 {
@@ -127,16 +137,16 @@
 class plane_fixture {
 public:
     explicit plane_fixture(const std::string& server_address,
-                           const std::string& coordinator_address = {})
+                           const std::string& coordinator_address = {}, std::uint32_t slots = 4)
         : caller_port{free_port()}
     {
-        this->publish(server_address, coordinator_address);
+        this->publish(server_address, coordinator_address, slots);
         this->plane = std::make_unique<request_plane>(
             request_plane_settings{.self = {"h1"},
                                    .caller_address = local_address(this->caller_port),
                                    .forward_address = local_address(free_port()),
                                    .threads = 1},
-            this->routes, this->links);
+            this->routes, this->links, this->page);
     }
 
     tcp::socket connect()
@@ -147,6 +157,19 @@
         return out;
     }
 
+    /// All slices of the service move from now on.
+    void start_move()
+    {
+        auto next = std::make_shared<routing_snapshot>(this->published);
+        for (auto& [id, document] : next->partitions) {
+            auto moving = *document;
+            ++moving.version;
+            moving.slices.front().moving_to = 0;
+            document = std::make_shared<partition>(moving);
+        }
+        this->routes.publish(std::move(next));
+    }
+
     /// Sends a text on a new connection and returns all that comes until it is closed.
     std::string ask(const std::string& text)
     {
@@ -158,10 +181,12 @@
 
     route_board routes;
     link_board links;
+    metrics page;
     std::unique_ptr<request_plane> plane;
 
 private:
-    void publish(const std::string& server_address, const std::string& coordinator_address)
+    void publish(const std::string& server_address, const std::string& coordinator_address,
+                 std::uint32_t slots)
     {
         // Deadlines that a busy machine does not meet by chance.
         const service served{.name = {"s"},
@@ -173,7 +198,8 @@
             .failure_domains = {{.name = {"d"}, .region = {"r"}}},
             .tenants = {{.name = {"t"}}},
             .services = {served},
-            .backend_servers = {{.name = {"b"}, .service = {"s"}, .failure_domain = {"d"}}}};
+            .backend_servers = {
+                {.name = {"b"}, .service = {"s"}, .failure_domain = {"d"}, .slots = slots}}};
         const partition whole{.id = {.service = {"s"}, .number = 0},
                               .version = 1,
                               .backend_servers = {{"b"}},
@@ -189,11 +215,13 @@
         this->links.update(*snapshot);
         this->links.find({"b"})->set_authority(
             {.until = monotonic_time::clock::now() + std::chrono::hours{1}, .incarnation = 1});
+        this->published = *snapshot;
         this->routes.publish(std::move(snapshot));
     }
 
     boost::asio::io_context io;
     std::uint16_t caller_port;
+    routing_snapshot published;
 };
 
 } // namespace figreach
