Spread requests only over servers that receive new work

Cause: two random draws could both fall on servers of a failure domain that is out (1 in 9 with one of three domains); the request then waited for a route, about 40 ms. Ruled out: Nagle's algorithm, since no_delay is set on every socket of the path.

--- a/src/runtime/caller_session.cpp
+++ b/src/runtime/caller_session.cpp
@@ -413,18 +413,22 @@
     return route_found{known ? route_finding::elsewhere : route_finding::none};
 }
 
-/// Takes the less busy of two random servers of a service that is not divided by key.
+/// Takes the less busy of two random servers of a service that is not divided by key, passing over
+/// those that receive no new work.
 void caller_session::spread(exchange& one)
 {
     constexpr int choices = 2;
+    constexpr int most_draws = 32;
+    int eligible = 0;
     std::uint32_t least = 0;
     one.to = {};
-    for (int i = 0; i < choices; ++i) {
+    for (int i = 0; i < most_draws && eligible < choices; ++i) {
         auto key = std::to_string(next_random(this->home.random_state));
         const auto found = find_route(*one.snapshot, *one.request.target, key);
         if (found.server == nullptr || !found.server->takes_new_work) {
             continue;
         }
+        ++eligible;
         const auto busy = this->home.outstanding[found.server->server];
         if (one.to.server == nullptr || busy < least) {
             one.to = found;
