--- a/src/runtime/caller_session.cpp
+++ b/src/runtime/caller_session.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include "figreach/runtime/caller_watch.h"
+#include "figreach/runtime/relay_meaning.h"
 
 namespace figreach {
 
@@ -22,7 +23,6 @@
 
 constexpr std::uint32_t most_header_bytes = 16 * 1024;
 constexpr seconds idle_limit{60};
-constexpr milliseconds least_retry_after{200};
 constexpr milliseconds linger_limit{1000};
 constexpr std::size_t most_linger_bytes = 1024 * 1024;
 constexpr std::size_t linger_chunk_bytes = 16 * 1024;
@@ -64,80 +64,6 @@
     return too_large ? error_kind::header_too_large : error_kind::malformed_request;
 }
 
-gate_ending gate_ending_of(const relay_result& result)
-{
-    switch (result.ending) {
-    case relay_ending::answered:
-        return gate_ending::answered;
-    case relay_ending::refused: {
-        const bool stale = result.refused_as == name_of(error_kind::stale_route);
-        return stale ? gate_ending::not_sent : gate_ending::refused;
-    }
-    case relay_ending::not_sent:
-        return gate_ending::not_sent;
-    case relay_ending::caller_gone:
-        return gate_ending::cancelled;
-    case relay_ending::late:
-        return gate_ending::late;
-    case relay_ending::lost:
-    case relay_ending::cut_short:
-        return gate_ending::failed;
-    }
-    return gate_ending::failed;
-}
-
-/// The error that a refusal by another entry host or a backend server named.
-error_kind refused_kind(const std::string& name)
-{
-    for (const auto& row : error_table()) {
-        const bool plain = row.http_status != 0 && row.ran == run_state::not_run;
-        if (plain && row.name == name) {
-            return row.kind;
-        }
-    }
-    return error_kind::server_refused;
-}
-
-attempt_event event_of(const relay_result& result, bool replayable)
-{
-    switch (result.ending) {
-    case relay_ending::answered:
-        return answer_ended{};
-    case relay_ending::refused:
-        return refused_not_run{.kind = refused_kind(result.refused_as),
-                               .retry_after = std::max(result.retry_after, least_retry_after),
-                               .replayable = replayable};
-    case relay_ending::not_sent:
-        return not_sent{.kind = error_kind::no_owner};
-    case relay_ending::lost:
-        return lost_after_send{.replayable = replayable};
-    case relay_ending::late:
-        return deadline_passed{};
-    case relay_ending::cut_short:
-        return answer_cut{};
-    case relay_ending::caller_gone:
-        return caller_left{};
-    }
-    return lost_after_send{.replayable = false};
-}
-
-/// Whether the request is known to run no longer at the server.
-bool has_ended(const relay_result& result)
-{
-    switch (result.ending) {
-    case relay_ending::answered:
-    case relay_ending::refused:
-    case relay_ending::not_sent:
-        return true;
-    case relay_ending::lost:
-    case relay_ending::cut_short:
-    case relay_ending::caller_gone:
-    case relay_ending::late:
-        return false;
-    }
-    return false;
-}
-
 /// Tells the window how a request that it let run has ended.
 void note_outcome(server_link& link, const repeat_id& id, const relay_result& result)
 {
--- /dev/null
+++ b/src/runtime/relay_meaning.cpp
@@ -0,0 +1,86 @@
+#include "figreach/runtime/relay_meaning.h"
+
+#include <algorithm>
+
+namespace figreach {
+
+namespace {
+
+constexpr milliseconds least_retry_after{200};
+
+/// The error that a refusal by another entry host or a backend server named.
+error_kind refused_kind(const std::string& name)
+{
+    for (const auto& row : error_table()) {
+        const bool plain = row.http_status != 0 && row.ran == run_state::not_run;
+        if (plain && row.name == name) {
+            return row.kind;
+        }
+    }
+    return error_kind::server_refused;
+}
+
+} // namespace
+
+gate_ending gate_ending_of(const relay_result& result)
+{
+    switch (result.ending) {
+    case relay_ending::answered:
+        return gate_ending::answered;
+    case relay_ending::refused: {
+        const bool stale = result.refused_as == name_of(error_kind::stale_route);
+        return stale ? gate_ending::not_sent : gate_ending::refused;
+    }
+    case relay_ending::not_sent:
+        return gate_ending::not_sent;
+    case relay_ending::caller_gone:
+        return gate_ending::cancelled;
+    case relay_ending::late:
+        return gate_ending::late;
+    case relay_ending::lost:
+    case relay_ending::cut_short:
+        return gate_ending::failed;
+    }
+    return gate_ending::failed;
+}
+
+attempt_event event_of(const relay_result& result, bool replayable)
+{
+    switch (result.ending) {
+    case relay_ending::answered:
+        return answer_ended{};
+    case relay_ending::refused:
+        return refused_not_run{.kind = refused_kind(result.refused_as),
+                               .retry_after = std::max(result.retry_after, least_retry_after),
+                               .replayable = replayable};
+    case relay_ending::not_sent:
+        return not_sent{.kind = error_kind::no_owner};
+    case relay_ending::lost:
+        return lost_after_send{.replayable = replayable};
+    case relay_ending::late:
+        return deadline_passed{};
+    case relay_ending::cut_short:
+        return answer_cut{};
+    case relay_ending::caller_gone:
+        return caller_left{};
+    }
+    return lost_after_send{.replayable = false};
+}
+
+bool has_ended(const relay_result& result)
+{
+    switch (result.ending) {
+    case relay_ending::answered:
+    case relay_ending::refused:
+    case relay_ending::not_sent:
+        return true;
+    case relay_ending::lost:
+    case relay_ending::cut_short:
+    case relay_ending::caller_gone:
+    case relay_ending::late:
+        return false;
+    }
+    return false;
+}
+
+} // namespace figreach
