Load settings through a module of its own with LEAF errors

figreachd's main held the reading, the checks of named files and the exit codes. Behaviour is unchanged but for a settings file that cannot be read, which is now reported in the form of every other fault.

--- a/src/programs/figreachd/main.cpp
+++ b/src/programs/figreachd/main.cpp
@@ -1,12 +1,11 @@
 // The entry host daemon: checks its settings whole, then serves until SIGTERM or SIGINT.
 
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/leaf/handle_errors.hpp>
 #include <boost/program_options.hpp>
 #include <google/protobuf/stubs/logging.h>
 
@@ -14,7 +13,9 @@
 #include "figreach/rpc/entry_host.h"
 #include "figreach/rpc/operator_server.h"
 #include "figreach/runtime/log.h"
+#include "figreach/runtime/settings_file.h"
 
+namespace leaf = boost::leaf;
 namespace options = boost::program_options;
 
 namespace {
@@ -86,30 +87,6 @@
             .present_load = {}};
 }
 
-/// Faults of the files that the settings name.
-figreach::fault_list unreadable_files(const figreach::host_settings& settings,
-                                      const std::string& settings_file)
-{
-    const std::pair<const char*, const std::string*> files[] = {
-        {"tls_certificate", &settings.tls_certificate},
-        {"tls_key", &settings.tls_key},
-        {"tls_client_ca", &settings.tls_client_ca},
-        {"peer_public_key", &settings.peer_public_key},
-        {"peer_secret_key", &settings.peer_secret_key},
-    };
-    figreach::fault_list faults;
-    for (const auto& [key, path] : files) {
-        if (!path->empty() && !std::ifstream{*path}) {
-            faults.push_back({.file = settings_file,
-                              .line = 0,
-                              .key = key,
-                              .found = "'" + *path + "', which cannot be read",
-                              .allowed = "a file that this process may read"});
-        }
-    }
-    return faults;
-}
-
 int serve(const figreach::host_settings& settings)
 {
     figreach::start_log(settings.log_level, settings.log_file);
@@ -127,22 +104,19 @@
 
 int run(const command_line& given)
 {
-    std::ifstream in{given.settings_file};
-    if (!in) {
-        std::cerr << given.settings_file << ": cannot be read\n";
-        return exit_bad_settings;
-    }
-    std::ostringstream text;
-    text << in.rdbuf();
-    auto parsed = figreach::parse_host_settings(text.str(), given.settings_file);
-    for (auto& one : unreadable_files(parsed.value, given.settings_file)) {
-        parsed.faults.push_back(std::move(one));
-    }
-    if (!parsed.faults.empty()) {
-        std::cerr << figreach::to_text(parsed.faults);
-        return exit_bad_settings;
-    }
-    return given.check_only ? exit_ok : serve(parsed.value);
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<int> {
+            BOOST_LEAF_AUTO(settings, figreach::load_host_settings(given.settings_file));
+            return given.check_only ? exit_ok : serve(settings);
+        },
+        [](const figreach::settings_faults& wrong) {
+            std::cerr << figreach::to_text(wrong.faults);
+            return exit_bad_settings;
+        },
+        [](const leaf::error_info& unexpected) {
+            std::cerr << "figreachd: " << unexpected << '\n';
+            return exit_failed;
+        });
 }
 
 } // namespace
