--- a/include/figreach/ownership.h
+++ b/include/figreach/ownership.h
@@ -110,8 +110,9 @@
     // coordinator
     void coordinate(monotonic_time now);
     void coordinate_server(const backend_server_id& name, monotonic_time now);
+    [[nodiscard]] monotonic_time authority_until(const backend_server_id& name) const;
     [[nodiscard]] coordinated_server describe(const backend_server_id& name,
-                                              monotonic_time now) const;
+                                              monotonic_time until) const;
     void send_grant(const backend_server_id& name, coordinator& role,
                     const coordinated_server& what, monotonic_time now);
     void tell_authority(const backend_server_id& name, server_state& state,
--- a/src/ownership.cpp
+++ b/src/ownership.cpp
@@ -141,7 +141,7 @@
 {
     std::vector<coordinator_hint> out;
     for (const auto& [name, state] : this->servers) {
-        if (state.role && this->describe(name, now).authority_until > now) {
+        if (state.role && this->authority_until(name) > now) {
             out.push_back({.server = name, .host = this->self.name, .term = state.role->term()});
         }
     }
@@ -280,32 +280,46 @@
 void ownership::coordinate_server(const backend_server_id& name, monotonic_time now)
 {
     auto& state = this->servers[name];
-    const auto what = this->describe(name, now);
-    if (now >= what.authority_until) {
+    const auto until = this->authority_until(name);
+    if (now >= until) {
         state.role.reset();
-        this->tell_authority(name, state, what, now);
+        this->tell_authority(name, state, {}, now);
         return;
     }
     if (!state.role) {
         state.role.emplace(this->self.name, this->settings, now);
     }
+    const auto what = this->describe(name, until);
     this->send_grant(name, *state.role, what, now);
     this->tell_authority(name, state, what, now);
     this->report(name, state, now);
 }
 
-coordinated_server ownership::describe(const backend_server_id& name, monotonic_time now) const
+/// Until when this host coordinates the backend server in every partition that lists it.
+monotonic_time ownership::authority_until(const backend_server_id& name) const
 {
-    coordinated_server out;
-    out.authority_until = monotonic_time::max();
+    auto until = monotonic_time::max();
     bool listed = false;
     for (const auto& [id, document] : this->known) {
-        if (!lists(*document, name)) {
+        if (lists(*document, name)) {
+            listed = true;
+            until = std::min(until, this->states.at(id).asked.authority_until(name));
+        }
+    }
+    return listed ? until : monotonic_time{};
+}
+
+coordinated_server ownership::describe(const backend_server_id& name, monotonic_time until) const
+{
+    coordinated_server out;
+    out.authority_until = until;
+    for (const auto& [id, document] : this->known) {
+        const auto& names = document->backend_servers;
+        const auto listed = std::ranges::find(names, name);
+        if (listed == names.end()) {
             continue;
         }
-        listed = true;
-        const auto& asked = this->states.at(id).asked;
-        out.authority_until = std::min(out.authority_until, asked.authority_until(name));
+        const auto owner = static_cast<std::uint32_t>(listed - names.begin());
         if (this->around.shared) {
             const auto* service = find_service(*this->around.shared, id.service);
             out.checks_fences = service == nullptr || service->checks_fences;
@@ -313,7 +327,7 @@
         }
         for (std::size_t i = 0; i < document->slices.size(); ++i) {
             const auto& slice = document->slices[i];
-            if (owner_of(*document, i) != name) {
+            if (slice.owner != owner) {
                 continue;
             }
             if (slice.moving_to) {
@@ -325,9 +339,6 @@
             }
         }
     }
-    if (!listed) {
-        out.authority_until = now;
-    }
     return out;
 }
 
@@ -405,7 +416,8 @@
 /// the version in which they move: no later coordinator grants them under their present fence.
 void ownership::release(const partition& document, partition_state& state, monotonic_time now)
 {
-    if (now < state.next_release) {
+    const auto moves = [](const slice& one) { return one.moving_to.has_value(); };
+    if (now < state.next_release || std::ranges::none_of(document.slices, moves)) {
         return;
     }
     for (const auto& name : document.backend_servers) {
@@ -414,7 +426,7 @@
         if (found == this->servers.end() || !found->second.role || !confirmed) {
             continue;
         }
-        const auto what = this->describe(name, now);
+        const auto what = this->describe(name, this->authority_until(name));
         released body{.known = {.id = document.id, .version = document.version},
                       .server = name,
                       .slices = {}};
