--- a/test/runtime/settings_file_test.cpp
+++ b/test/runtime/settings_file_test.cpp
@@ -42,7 +42,7 @@
 {
     return boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<std::vector<std::string>> {
-            const auto loaded = load_host_settings(path);
+            auto loaded = load_host_settings(path);
             if (!loaded) {
                 return loaded.error();
             }
