Tables of large fleets are small, their grants renewed less often, load reports told once

Change: a table names each owner once and holds arrays (about 10 bytes a range), a used token is dropped with the next version; from 40 hosts on grants last 3.4 s and are renewed each 1.2 s, and the term names the hold for which a successor waits; a host tells only reports that it saw itself, once.

--- a/include/figreach/direct/key_keeper.h
+++ b/include/figreach/direct/key_keeper.h
@@ -17,13 +17,15 @@
 namespace figreach::direct {
 
 struct keeper_settings {
-    milliseconds hold{2800};            ///< of a grant; docs/platform.md has the sum
-    milliseconds renew_interval{600};   ///< a leader's loss takes less than hold - renew_interval
-    milliseconds retry_interval{150};   ///< after an order without an answer
-    milliseconds avoid_lost{2000};      ///< for which a server that does not answer gets no keys
-    milliseconds order_timeout{350};    ///< a few round trips to a busy server
-    milliseconds release_timeout{2500}; ///< the server answers when its work has ended
-    milliseconds margin{150};           ///< for delays of an order and of a timer
+    milliseconds hold{2800};          ///< of a grant; docs/platform.md has the sum
+    milliseconds renew_interval{600}; ///< a leader's loss takes less than hold - renew_interval
+    milliseconds large_fleet_renew_interval{1200}; ///< halves the renewals; hold grows by as much
+    std::size_t large_fleet = 40;                  ///< entry hosts
+    milliseconds retry_interval{150};              ///< after an order without an answer
+    milliseconds avoid_lost{2000};         ///< for which a server that does not answer gets no keys
+    milliseconds order_timeout{350};       ///< a few round trips to a busy server
+    milliseconds release_timeout{2500};    ///< the server answers when its work has ended
+    milliseconds margin{150};              ///< for delays of an order and of a timer
     std::uint32_t clock_drift_percent = 2; ///< a server's clock may run this much slow
     std::uint32_t lost_after = 2;          ///< grants without an answer, after which keys move away
     milliseconds gather{60};               ///< keys that become free are placed together
@@ -31,6 +33,11 @@
     key_plan_settings plan;
 };
 
+/// Settings for a fleet with this many entry hosts. A large one has many servers and ranges, whose
+/// renewals would take all processor time of the leader, so that they are longer and rarer there.
+[[nodiscard]] keeper_settings for_fleet(keeper_settings settings, std::size_t hosts,
+                                        milliseconds longest_hold);
+
 /// How the requests of a service are spread over its keys, seen over two lengths of time.
 struct seen_loads {
     key_loads recent; ///< shows a hot key at once
@@ -145,6 +152,7 @@
                monotonic_time now);
     [[nodiscard]] bool others_follow(std::size_t free) const;
     void renew_fences(key_table& draft) const;
+    void drop_used_tokens(key_table& draft) const;
     void take_from_unfit(key_table& draft, const std::vector<key_server>& servers) const;
     void balance(key_table& draft, const std::vector<key_server>& servers, const seen_loads& loads,
                  monotonic_time now);
--- a/include/figreach/direct/runtime/leader_duty.h
+++ b/include/figreach/direct/runtime/leader_duty.h
@@ -54,6 +54,8 @@
         std::int64_t term_revision = 0;
         monotonic_time authority_until{};   ///< no order after it
         monotonic_time former_orders_end{}; ///< see key_keeper
+        keeper_settings keeping;
+        milliseconds former_hold{0}; ///< longest grant of an earlier leader
         std::map<service_id, kept_service> services;
         std::uint32_t open_calls = 0;
         std::set<host_id> followers; ///< asked this host during the tenure
@@ -90,12 +92,12 @@
     [[nodiscard]] std::optional<std::vector<host_id>> hosts_before(const leader_term& former) const;
     [[nodiscard]] monotonic_time end_of_former_orders(const leader_term& former,
                                                       monotonic_time now) const;
+    [[nodiscard]] keeper_settings settings_now() const;
     void step_down(const std::shared_ptr<tenure>& own, const char* reason);
     void settle_former_orders(tenure& own, monotonic_time now);
 
     host_context& state;
     http_client orders;
-    keeper_settings keeping;
     std::shared_ptr<tenure> present;  ///< null: does not lead
     std::shared_ptr<tenure> accepted; ///< a term that another host has handed over
     std::optional<leader_hint> handed_to;
--- a/include/figreach/direct/server_views.h
+++ b/include/figreach/direct/server_views.h
@@ -40,6 +40,7 @@
     std::uint32_t sent_since_report = 0; ///< requests of this host that the report lacks
     std::optional<load_report> report;
     monotonic_time reported_at{};
+    bool report_is_news = false;          ///< seen by this host and not yet told to others
     std::deque<monotonic_time> sends;     ///< recent ones, for reports that others have seen
     std::optional<std::uint32_t> full_at; ///< requests that waited when the server turned one away
     monotonic_time full_seen_at{};
@@ -66,6 +67,8 @@
     void merge(const server_load& load, monotonic_time now);
     /// Reports that are still of use.
     [[nodiscard]] std::vector<server_load> reports(monotonic_time now) const;
+    /// Of these, those that this host has seen itself since the last call.
+    [[nodiscard]] std::vector<server_load> take_own_reports(monotonic_time now);
 
     [[nodiscard]] const server_view& view(const backend_server_id& id) const;
     /// How long a request that is sent now waits until a slot is free, as far as is known.
@@ -85,6 +88,8 @@
     void note_work(const backend_server_id& id, nanoseconds latency, double slowdown);
     void note_pace(const backend_server_id& id, nanoseconds latency);
     void note_queue(server_view& view, bool turned_away, monotonic_time now) const;
+    [[nodiscard]] static server_load load_of(const backend_server_id& id, const server_view& view,
+                                             monotonic_time now);
     [[nodiscard]] const load_report* fresh_report(const server_view& view,
                                                   monotonic_time now) const;
     [[nodiscard]] double ahead(const server_view& view, std::uint32_t slots, milliseconds work,
--- a/include/figreach/direct/stored_records.h
+++ b/include/figreach/direct/stored_records.h
@@ -7,6 +7,7 @@
 
 #include "figreach/direct/key_table.h"
 #include "figreach/ids.h"
+#include "figreach/time.h"
 
 namespace figreach::direct {
 
@@ -16,6 +17,7 @@
     host_id host;
     std::uint64_t host_lifetime = 0;
     bool resigned = false; ///< gives no orders any more
+    milliseconds hold{0};  ///< longest grant that it gives
 
     friend bool operator==(const leader_term&, const leader_term&) = default;
 };
--- a/src/direct/key_keeper.cpp
+++ b/src/direct/key_keeper.cpp
@@ -65,6 +65,18 @@
 
 } // namespace
 
+keeper_settings for_fleet(keeper_settings settings, std::size_t hosts, milliseconds longest_hold)
+{
+    const auto loss = settings.hold - settings.renew_interval;
+    const auto usual = settings.renew_interval;
+    if (hosts >= settings.large_fleet) {
+        settings.hold = settings.large_fleet_renew_interval + loss;
+    }
+    settings.hold = std::min(settings.hold, longest_hold);
+    settings.renew_interval = std::max(usual, settings.hold - loss);
+    return settings;
+}
+
 key_keeper::key_keeper(keeper_settings settings_, key_table present_,
                        monotonic_time former_orders_end, monotonic_time now)
     : settings{settings_}, present{std::move(present_)}
@@ -422,7 +434,24 @@
     if (draft == this->present) {
         this->balance(draft, servers, loads, now);
     }
-    return draft == this->present ? std::nullopt : std::optional{std::move(draft)};
+    if (draft == this->present) {
+        return std::nullopt;
+    }
+    this->drop_used_tokens(draft);
+    return draft;
+}
+
+/// An owner that took its grant has no further use for the token that came with it.
+void key_keeper::drop_used_tokens(key_table& draft) const
+{
+    for (auto& range : draft.ranges) {
+        const auto state = this->states.find(range.keys.first);
+        const bool same = state != this->states.end() &&
+                          range_of(this->present, range.keys.first).fence == range.fence;
+        if (same && state->second.granted) {
+            range.handover.clear();
+        }
+    }
 }
 
 /// Ranges that no backend server can hold.
--- a/src/direct/runtime/leader_duty.cpp
+++ b/src/direct/runtime/leader_duty.cpp
@@ -44,12 +44,12 @@
     return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
 }
 
-/// From the decision to grant keys to the end of the grant at the server.
-milliseconds longest_order(const keeper_settings& with)
+/// From the decision to grant keys for `hold` to the end of the grant at the server.
+milliseconds longest_order(const keeper_settings& with, milliseconds hold)
 {
     constexpr std::int64_t whole_percent = 100;
-    return with.order_timeout +
-           with.hold * (whole_percent + with.clock_drift_percent) / whole_percent + with.margin;
+    return with.order_timeout + hold * (whole_percent + with.clock_drift_percent) / whole_percent +
+           with.margin;
 }
 
 std::string describe(const key_order& order)
@@ -67,10 +67,7 @@
     return monotonic_time{seconds{now.tv_sec} + nanoseconds{now.tv_nsec}};
 }
 
-leader_duty::leader_duty(host_context& state_) : state{state_}, orders{state_.io}
-{
-    this->keeping.hold = std::min(this->keeping.hold, state_.settings.longest_hold);
-}
+leader_duty::leader_duty(host_context& state_) : state{state_}, orders{state_.io} {}
 
 void leader_duty::start()
 {
@@ -118,7 +115,8 @@
     if (!own.former_known) {
         return;
     }
-    own.former_orders_end = std::min(own.former_orders_end, now + longest_order(this->keeping));
+    own.former_orders_end =
+        std::min(own.former_orders_end, now + longest_order(own.keeping, own.former_hold));
     for (auto& item : own.services) {
         item.second.keeper.limit_former_orders(own.former_orders_end);
     }
@@ -220,10 +218,12 @@
         co_return nullptr;
     }
     const auto former = decode_leader_term(item->value).value_or(leader_term{});
+    const auto keeping = this->settings_now();
     const leader_term next{.term = former.term + 1,
                            .host = this->state.settings.name,
                            .host_lifetime = this->state.lifetime,
-                           .resigned = false};
+                           .resigned = false,
+                           .hold = keeping.hold};
     store_transaction claim;
     claim.conditions = {{.key = leader_key, .revision = 0},
                         {.key = term_key, .revision = item->revision}};
@@ -238,6 +238,8 @@
     own->number = next.term;
     own->lease = *lease_id;
     own->term_revision = *revision;
+    own->keeping = keeping;
+    own->former_hold = std::max(former.hold, keeping.hold);
     own->authority_until = asked + lease_time + outage_authority;
     own->former_orders_end = this->end_of_former_orders(former, time_with_suspension());
     own->former_hosts = this->hosts_before(former);
@@ -298,6 +300,11 @@
     }
 }
 
+keeper_settings leader_duty::settings_now() const
+{
+    return for_fleet({}, this->state.beliefs.host_count(), this->state.settings.longest_hold);
+}
+
 /// When the last grant of the former leader has run out for certain.
 monotonic_time leader_duty::end_of_former_orders(const leader_term& former,
                                                  monotonic_time now) const
@@ -305,7 +312,8 @@
     if (former.host.empty()) {
         return now;
     }
-    const auto last_grant = longest_order(this->keeping);
+    const auto with = this->settings_now();
+    const auto last_grant = longest_order(with, std::max(former.hold, with.hold));
     // A leader that ended may have handed its term over; only its own word ends the doubt.
     const bool was_self =
         former.host == this->state.settings.name && former.host_lifetime == this->state.lifetime;
@@ -377,7 +385,7 @@
             co_return;
         }
     }
-    key_keeper keeper{this->keeping, is_new ? make_key_table(service) : std::move(*table),
+    key_keeper keeper{own->keeping, is_new ? make_key_table(service) : std::move(*table),
                       own->former_orders_end, time_with_suspension()};
     own->services.emplace(service, keep(std::move(keeper), item->revision));
 }
@@ -517,7 +525,8 @@
     const leader_term last{.term = own->number,
                            .host = this->state.settings.name,
                            .host_lifetime = this->state.lifetime,
-                           .resigned = true};
+                           .resigned = true,
+                           .hold = own->keeping.hold};
     store_transaction farewell;
     farewell.conditions = {{.key = term_key, .revision = own->term_revision}};
     farewell.writes = {{.key = term_key, .value = encode(last), .lease = 0}};
@@ -583,13 +592,21 @@
         return false;
     }
     const auto now = time_with_suspension();
-    const auto& with = this->keeping;
+    const auto& term = this->state.beliefs.term();
+    auto with = this->settings_now();
+    // A successor waits for the hold that the term names.
+    const bool is_named = term.term == offer.term && term.hold > milliseconds{0};
+    const auto named = is_named ? term.hold : keeper_settings{}.hold;
+    with.hold = std::min(with.hold, named);
     auto own = std::make_shared<tenure>();
+    own->keeping = with;
+    own->former_hold = std::max(named, with.hold);
     own->number = offer.term;
     own->lease = offer.lease;
     own->term_revision = offer.term_revision;
     own->authority_until = now + offer.authority;
-    own->former_orders_end = std::max(now + offer.former_orders, now + longest_order(with));
+    own->former_orders_end =
+        std::max(now + offer.former_orders, now + longest_order(with, own->former_hold));
     for (const auto& one : offer.tables) {
         key_keeper keeper{with, one.table, own->former_orders_end, now};
         own->services.emplace(one.table.service, keep(std::move(keeper), one.revision));
--- a/src/direct/runtime/store_feed.cpp
+++ b/src/direct/runtime/store_feed.cpp
@@ -321,12 +321,12 @@
     if (!known) {
         co_return false;
     }
-    const follow_request question{.host = this->state.settings.name,
-                                  .positions = *known,
-                                  .loads = this->take_loads(),
-                                  .paces = this->state.views.take_paces(),
-                                  .server_loads =
-                                      this->state.views.reports(monotonic_time::clock::now())};
+    const follow_request question{
+        .host = this->state.settings.name,
+        .positions = *known,
+        .loads = this->take_loads(),
+        .paces = this->state.views.take_paces(),
+        .server_loads = this->state.views.take_own_reports(monotonic_time::clock::now())};
     auto request = make_request(http::verb::post, "/follow", encode(question));
     const auto timeout = this->wait_of_followers() + follow_reserve;
     const auto result = co_await this->peers.call(leader.peer_address, std::move(request),
--- a/src/direct/server_views.cpp
+++ b/src/direct/server_views.cpp
@@ -55,6 +55,7 @@
     if (report) {
         view.report = report;
         view.reported_at = now;
+        view.report_is_news = true;
         view.sent_since_report = 0;
         view.sends.clear();
     }
@@ -123,19 +124,37 @@
     }
     view.report = load.report;
     view.reported_at = seen_at;
+    view.report_is_news = false;
     while (!view.sends.empty() && view.sends.front() <= seen_at) {
         view.sends.pop_front();
     }
     view.sent_since_report = static_cast<std::uint32_t>(view.sends.size());
 }
 
+server_load server_views::load_of(const backend_server_id& id, const server_view& view,
+                                  monotonic_time now)
+{
+    const auto age = std::chrono::floor<milliseconds>(now - view.reported_at);
+    return {.server = id, .report = *view.report, .age = age};
+}
+
 std::vector<server_load> server_views::reports(monotonic_time now) const
 {
     std::vector<server_load> out;
     for (const auto& [id, view] : this->views) {
         if (this->fresh_report(view, now) != nullptr) {
-            const auto age = std::chrono::floor<milliseconds>(now - view.reported_at);
-            out.push_back({.server = id, .report = *view.report, .age = age});
+            out.push_back(load_of(id, view, now));
+        }
+    }
+    return out;
+}
+
+std::vector<server_load> server_views::take_own_reports(monotonic_time now)
+{
+    std::vector<server_load> out;
+    for (auto& [id, view] : this->views) {
+        if (std::exchange(view.report_is_news, false) && this->fresh_report(view, now) != nullptr) {
+            out.push_back(load_of(id, view, now));
         }
     }
     return out;
--- a/src/direct/stored_records.cpp
+++ b/src/direct/stored_records.cpp
@@ -1,21 +1,95 @@
 #include "figreach/direct/stored_records.h"
 
+#include <map>
 #include <utility>
+#include <vector>
 
 #include "../parse_message.h"
-#include "key_range_codec.h"
+#include "document.pb.h"
 
 namespace figreach::direct {
 
 namespace wire = document::v1;
 
+namespace {
+
+/// Numbers the owners of a table in the order in which they are first named, from 1 on.
+class owner_numbers {
+public:
+    explicit owner_numbers(wire::KeyTable& out_) : out{out_} {}
+
+    std::uint32_t number_of(const key_range& range)
+    {
+        if (range.owner.empty()) {
+            return 0;
+        }
+        const std::pair owner{std::string_view{range.owner.value}, range.owner_lifetime};
+        const auto [place, is_new] = this->numbers.try_emplace(owner, this->numbers.size() + 1);
+        if (is_new) {
+            auto& added = *this->out.add_owners();
+            added.set_server(range.owner.value);
+            added.set_lifetime(range.owner_lifetime);
+        }
+        return static_cast<std::uint32_t>(place->second);
+    }
+
+private:
+    wire::KeyTable& out;
+    std::map<std::pair<std::string_view, std::uint64_t>, std::size_t> numbers;
+};
+
+/// The ranges without what is told apart from them; nothing: an index or a fence is too high.
+std::optional<std::vector<key_range>> ranges_of(const wire::KeyTable& in)
+{
+    const auto count = in.widths_size();
+    if (in.owner_size() != count || in.fences_size() != count) {
+        return std::nullopt;
+    }
+    std::vector<key_range> out;
+    out.reserve(static_cast<std::size_t>(count));
+    std::uint64_t first = 0;
+    for (int i = 0; i < count; ++i) {
+        const auto end = first + in.widths(i);
+        const auto owner = static_cast<int>(in.owner(i));
+        if (end > key_count || end == first || owner < 0 || owner > in.owners_size() ||
+            in.fences(i) >= in.next_fence()) {
+            return std::nullopt;
+        }
+        key_range range{.keys = {.first = static_cast<std::uint32_t>(first),
+                                 .last = static_cast<std::uint32_t>(end - 1)},
+                        .fence = in.fences(i)};
+        if (owner > 0) {
+            range.owner = {in.owners(owner - 1).server()};
+            range.owner_lifetime = in.owners(owner - 1).lifetime();
+        }
+        out.push_back(std::move(range));
+        first = end;
+    }
+    return out;
+}
+
+} // namespace
+
 std::string encode(const key_table& table)
 {
     wire::KeyTable out;
     out.set_service(table.service.value);
     out.set_next_fence(table.next_fence);
+    owner_numbers owners{out};
+    std::uint32_t index = 0;
     for (const auto& range : table.ranges) {
-        fill(*out.add_ranges(), range);
+        out.add_widths(range.keys.last - range.keys.first + 1);
+        out.add_owner(owners.number_of(range));
+        out.add_fences(range.fence);
+        if (range.moving) {
+            out.add_moving(index);
+        }
+        if (!range.handover.empty()) {
+            auto& token = *out.add_tokens();
+            token.set_range(index);
+            token.set_token(range.handover);
+        }
+        ++index;
     }
     return out.SerializeAsString();
 }
@@ -27,6 +101,7 @@
     out.set_host(term.host.value);
     out.set_host_lifetime(term.host_lifetime);
     out.set_resigned(term.resigned);
+    out.set_hold_ms(static_cast<std::uint32_t>(term.hold.count()));
     return out.SerializeAsString();
 }
 
@@ -46,10 +121,22 @@
     if (!in) {
         return std::nullopt;
     }
-    auto ranges = to_ranges(in->ranges(), in->next_fence());
+    auto ranges = ranges_of(*in);
     if (!ranges) {
         return std::nullopt;
     }
+    for (const auto index : in->moving()) {
+        if (index >= ranges->size()) {
+            return std::nullopt;
+        }
+        (*ranges)[index].moving = true;
+    }
+    for (const auto& token : in->tokens()) {
+        if (token.range() >= ranges->size()) {
+            return std::nullopt;
+        }
+        (*ranges)[token.range()].handover = token.token();
+    }
     key_table out{
         .service = {in->service()}, .next_fence = in->next_fence(), .ranges = std::move(*ranges)};
     return is_whole(out) ? std::optional{std::move(out)} : std::nullopt;
@@ -64,7 +151,8 @@
     return leader_term{.term = in->term(),
                        .host = {in->host()},
                        .host_lifetime = in->host_lifetime(),
-                       .resigned = in->resigned()};
+                       .resigned = in->resigned(),
+                       .hold = milliseconds{in->hold_ms()}};
 }
 
 std::optional<live_host> decode_live_host(std::string_view bytes)
--- a/test/direct/key_keeper_test.cpp
+++ b/test/direct/key_keeper_test.cpp
@@ -213,6 +213,63 @@
     CHECK_TRUE(*waited >= reported_after + whole_hold);
 }
 
+TEST(key_keeper_test, drops_tokens_that_have_been_used_with_the_next_table)
+{
+    const seen_loads loads{.recent = key_loads{{}}, .usual = key_loads{{}}};
+    auto table = owned_by_a();
+    auto& first = table.ranges.front();
+    first.keys.last = 999;
+    first.handover = "used";
+    table.ranges.push_back(first);
+    auto& second = table.ranges.back();
+    second.keys = {.first = 1000, .last = key_count - 1};
+    second.owner = {"b"};
+    second.fence = table.next_fence++;
+    second.handover = "still to be used";
+    key_keeper keeper{{}, table, start, start};
+    auto servers = two_servers();
+    std::optional<key_table> written;
+    for (auto now = start; !written && now < start + seconds{2}; now += step) {
+        for (const auto& action : keeper.on_tick(servers, loads, now)) {
+            if (const auto* draft = std::get_if<write_table>(&action)) {
+                written = draft->table;
+                continue;
+            }
+            const auto& order = std::get<send_order>(action);
+            const bool taken = order.server.value == "a";
+            keeper.on_answer(order.call,
+                             {.ending = taken ? order_ending::done : order_ending::no_answer}, now);
+        }
+        servers[1].takes_keys = now < start + milliseconds{100};
+    }
+    CHECK_TRUE(written.has_value());
+    STRCMP_EQUAL("", written->ranges.front().handover.c_str());
+    STRCMP_EQUAL("still to be used", written->ranges.back().handover.c_str());
+}
+
+struct fleet_row {
+    const char* name;
+    std::size_t hosts;
+    milliseconds longest_hold;
+    milliseconds hold;
+    milliseconds renew_interval;
+};
+
+const fleet_row fleet_rows[] = {
+    {"a small fleet", 12, seconds{10}, milliseconds{2800}, milliseconds{600}},
+    {"a large fleet", 79, seconds{10}, milliseconds{3400}, milliseconds{1200}},
+    {"servers that take short grants only", 79, seconds{3}, seconds{3}, milliseconds{800}},
+};
+
+TEST(key_keeper_test, renews_less_often_on_a_large_fleet)
+{
+    for (const auto& row : fleet_rows) {
+        const auto settings = for_fleet({}, row.hosts, row.longest_hold);
+        CHECK_TRUE_TEXT(settings.hold == row.hold, row.name);
+        CHECK_TRUE_TEXT(settings.renew_interval == row.renew_interval, row.name);
+    }
+}
+
 /// A table in which one server owns several ranges.
 key_table three_ranges_of_a()
 {
--- a/test/direct/server_views_test.cpp
+++ b/test/direct/server_views_test.cpp
@@ -183,6 +183,24 @@
     CHECK_TRUE(views.reports(now + seconds{2}).empty());
 }
 
+/// Pattern: a large fleet. A host that told the reports of all servers in each call would send most
+/// of them back to where they came from.
+TEST(server_views_test, tells_only_reports_that_it_has_seen_itself_and_not_told_yet)
+{
+    server_views views{{}};
+    views.note_sent(server, false, start);
+    views.note_ended(server, send_ending::answered, {}, report(4, 1), start);
+    views.merge({.server = {"other"}, .report = report(2, 0), .age = {}}, start);
+    const auto told = views.take_own_reports(start);
+    CHECK_EQUAL(1, told.size());
+    CHECK_TRUE(told[0].server == server);
+    CHECK_TRUE(views.take_own_reports(start).empty());
+    CHECK_EQUAL(2, views.reports(start).size());
+    views.note_sent(server, false, start);
+    views.note_ended(server, send_ending::answered, {}, report(4, 2), start + milliseconds{10});
+    CHECK_EQUAL(1, views.take_own_reports(start + milliseconds{10}).size());
+}
+
 TEST(server_views_test, takes_the_cheaper_of_two)
 {
     std::uint64_t state = 1;
--- a/test/direct/stored_records_test.cpp
+++ b/test/direct/stored_records_test.cpp
@@ -42,7 +42,8 @@
 {
     CHECK_TRUE(decode_key_table(encode(sample_table())) == sample_table());
     CHECK_TRUE(decode_key_table(encode(make_key_table({"x"}))) == make_key_table({"x"}));
-    const leader_term term{.term = 4, .host = {"h"}, .host_lifetime = 8, .resigned = true};
+    const leader_term term{
+        .term = 4, .host = {"h"}, .host_lifetime = 8, .resigned = true, .hold = milliseconds{3400}};
     CHECK_TRUE(decode_leader_term(encode(term)) == term);
     const live_host host{.name = {"h"}, .lifetime = 8, .peer_address = "127.0.0.1:1"};
     CHECK_TRUE(decode_live_host(encode(host)) == host);
@@ -60,6 +61,26 @@
     CHECK_FALSE(decode_live_host("").has_value());
 }
 
+/// Pattern: hot keys on a large fleet, where the table has several ranges for each server. Hosts
+/// with links of 10 Mbit/s read each version that the leader does not tell them.
+TEST(stored_records_test, a_range_of_a_large_table_takes_few_bytes)
+{
+    constexpr std::uint32_t ranges = 2048;
+    constexpr std::uint32_t servers = 341;
+    constexpr std::size_t most_bytes_per_range = 14;
+    key_table table{.service = {"lessons"}, .next_fence = 20000, .ranges = {}};
+    for (std::uint32_t i = 0; i < ranges; ++i) {
+        const auto width = key_count / ranges;
+        table.ranges.push_back({.keys = {.first = i * width, .last = (i + 1) * width - 1},
+                                .owner = {"i-" + std::to_string(1'000'000'000 + i % servers)},
+                                .owner_lifetime = 1'779'789'740'126U + i % servers,
+                                .fence = table.next_fence - i - 1});
+    }
+    const auto bytes = encode(table);
+    CHECK_TRUE(decode_key_table(bytes) == table);
+    CHECK_TRUE(bytes.size() <= ranges * most_bytes_per_range);
+}
+
 TEST(stored_records_test, finds_the_range_of_each_key)
 {
     const auto table = sample_table();
