A fault soak with real entry hosts and stand-ins for the platform

Stand-ins of the platform's store and backend servers speak its protocol (platform/standin); the soak (soak/) starts figreach-direct as processes, harms them by signals, the store and the servers by their own faults, the links by a proxy that delays, resets, cuts one way and silences, and checks promises from what callers and servers see. Faults come in series and overlap; callers keep their connections.

--- /dev/null
+++ b/soak/fault_plan.cpp
@@ -0,0 +1,96 @@
+#include "fault_plan.h"
+
+#include "figreach/retry_budget.h"
+
+namespace figreach::soak {
+
+namespace {
+
+constexpr std::uint64_t percent = 100;
+constexpr std::uint64_t same_target_percent = 30;
+constexpr std::uint64_t same_kind_percent = 15;
+constexpr std::uint64_t most_targets = 64;
+
+} // namespace
+
+const char* name_of(fault_kind kind)
+{
+    switch (kind) {
+    case fault_kind::host_killed:
+        return "host_killed";
+    case fault_kind::host_stopped:
+        return "host_stopped";
+    case fault_kind::host_paused:
+        return "host_paused";
+    case fault_kind::host_reloaded:
+        return "host_reloaded";
+    case fault_kind::all_hosts_killed:
+        return "all_hosts_killed";
+    case fault_kind::host_cut_from_store:
+        return "host_cut_from_store";
+    case fault_kind::store_silent:
+        return "store_silent";
+    case fault_kind::store_busy:
+        return "store_busy";
+    case fault_kind::store_slow:
+        return "store_slow";
+    case fault_kind::store_answers_lost:
+        return "store_answers_lost";
+    case fault_kind::store_leases_lapsed:
+        return "store_leases_lapsed";
+    case fault_kind::store_history_dropped:
+        return "store_history_dropped";
+    case fault_kind::server_crashed:
+        return "server_crashed";
+    case fault_kind::server_silent:
+        return "server_silent";
+    case fault_kind::server_left:
+        return "server_left";
+    case fault_kind::server_cut_from_store:
+        return "server_cut_from_store";
+    case fault_kind::server_answers_lost:
+        return "server_answers_lost";
+    case fault_kind::link_delayed:
+        return "link_delayed";
+    case fault_kind::link_reset:
+        return "link_reset";
+    case fault_kind::link_cut_to:
+        return "link_cut_to";
+    case fault_kind::link_cut_from:
+        return "link_cut_from";
+    case fault_kind::link_silent:
+        return "link_silent";
+    case fault_kind::configuration_changed:
+        return "configuration_changed";
+    case fault_kind::kinds:
+        break;
+    }
+    return "unknown";
+}
+
+std::vector<planned_fault> make_plan(const plan_settings& settings)
+{
+    std::uint64_t state = settings.seed;
+    const auto draw = [&state](std::uint64_t below) { return next_random(state) % below; };
+    const auto spread = static_cast<std::uint64_t>((settings.longest - settings.shortest).count());
+    std::vector<planned_fault> out;
+    auto at = settings.first;
+    while (at < settings.last) {
+        planned_fault next{
+            .at = at,
+            .kind = static_cast<fault_kind>(draw(static_cast<std::uint64_t>(fault_kind::kinds))),
+            .target = static_cast<std::uint32_t>(draw(most_targets)),
+            .lasts = settings.shortest + milliseconds{draw(spread)}};
+        if (!out.empty() && draw(percent) < same_target_percent) {
+            next.target = out.back().target;
+        }
+        if (!out.empty() && draw(percent) < same_kind_percent) {
+            next.kind = out.back().kind;
+        }
+        out.push_back(next);
+        at += milliseconds{draw(2 * static_cast<std::uint64_t>(settings.mean_pause.count()))};
+    }
+    return out;
+}
+
+} // namespace figreach::soak
--- /dev/null
+++ b/soak/fault_proxy.cpp
@@ -0,0 +1,110 @@
+#include "fault_proxy.h"
+
+#include <array>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include "figreach/direct/runtime/change_signal.h"
+#include "figreach/runtime/connection_pool.h"
+
+namespace figreach::soak {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t piece_bytes = 16 * 1024;
+constexpr milliseconds cut_check{10};
+
+void reset_socket(tcp::socket& one)
+{
+    boost::system::error_code ignored;
+    one.set_option(asio::socket_base::linger{true, 0}, ignored);
+    one.close(ignored);
+}
+
+} // namespace
+
+fault_proxy::fault_proxy(asio::io_context& io_, std::string target_)
+    : io{io_},
+      target{std::move(target_)},
+      listener{io_, {asio::ip::address_v4::loopback(), 0}},
+      address_text{"127.0.0.1:" + std::to_string(this->listener.local_endpoint().port())}
+{
+    asio::co_spawn(this->io, this->accept(), asio::detached);
+}
+
+const std::string& fault_proxy::address() const
+{
+    return this->address_text;
+}
+
+void fault_proxy::reset()
+{
+    for (const auto& one : this->open) {
+        reset_socket(*one);
+    }
+}
+
+asio::awaitable<void> fault_proxy::accept()
+{
+    for (;;) {
+        auto [failed, near] = co_await this->listener.async_accept(no_throw);
+        if (!failed) {
+            auto shared = std::make_shared<socket>(std::move(near));
+            asio::co_spawn(this->io, this->connect(std::move(shared)), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> fault_proxy::connect(shared_socket near)
+{
+    const auto far = std::make_shared<socket>(this->io);
+    const auto [failed] = co_await far->async_connect(to_endpoint(this->target), no_throw);
+    if (failed) {
+        reset_socket(*near);
+        co_return;
+    }
+    boost::system::error_code ignored;
+    near->set_option(tcp::no_delay{true}, ignored);
+    far->set_option(tcp::no_delay{true}, ignored);
+    this->open.insert(near);
+    this->open.insert(far);
+    asio::co_spawn(this->io, this->pass(near, far, true), asio::detached);
+    asio::co_spawn(this->io, this->pass(far, near, false), asio::detached);
+}
+
+asio::awaitable<void> fault_proxy::pass(shared_socket from, shared_socket to, bool towards_target)
+{
+    std::array<char, piece_bytes> piece{};
+    for (;;) {
+        const auto [failed, count] = co_await from->async_read_some(asio::buffer(piece), no_throw);
+        while (to->is_open() && (towards_target ? this->faults.cut_to : this->faults.cut_from)) {
+            co_await direct::sleep_for(this->io, cut_check);
+        }
+        if (this->faults.delay > milliseconds{0}) {
+            co_await direct::sleep_for(this->io, this->faults.delay);
+        }
+        if (failed || !to->is_open()) {
+            break;
+        }
+        const auto [unsent, sent] =
+            co_await asio::async_write(*to, asio::buffer(piece.data(), count), no_throw);
+        if (unsent) {
+            break;
+        }
+    }
+    reset_socket(*from);
+    reset_socket(*to);
+    this->open.erase(from);
+    this->open.erase(to);
+}
+
+} // namespace figreach::soak
--- /dev/null
+++ b/soak/fault_proxy.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "figreach/time.h"
+
+namespace figreach::soak {
+
+/// How a link misbehaves. Bytes that are held up go on when the fault ends.
+struct link_faults {
+    milliseconds delay{0}; ///< of each piece, in both directions
+    bool cut_to = false;   ///< towards the target
+    bool cut_from = false; ///< from the target
+};
+
+/// Passes TCP connections on to a target, with faults.
+class fault_proxy {
+public:
+    fault_proxy(boost::asio::io_context& io, std::string target);
+
+    link_faults faults;
+
+    [[nodiscard]] const std::string& address() const;
+    /// Resets all connections.
+    void reset();
+
+private:
+    using socket = boost::asio::ip::tcp::socket;
+    using shared_socket = std::shared_ptr<socket>;
+
+    boost::asio::awaitable<void> accept();
+    boost::asio::awaitable<void> connect(shared_socket near);
+    boost::asio::awaitable<void> pass(shared_socket from, shared_socket to, bool towards_target);
+
+    boost::asio::io_context& io;
+    std::string target;
+    boost::asio::ip::tcp::acceptor listener;
+    std::string address_text;
+    std::set<shared_socket> open;
+};
+
+} // namespace figreach::soak
--- /dev/null
+++ b/soak/host_process.cpp
@@ -0,0 +1,126 @@
+#include "host_process.h"
+
+#include <array>
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <stdexcept>
+#include <utility>
+
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+namespace figreach::soak {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+/// Three free ports. They stay free unless another program takes them before the host starts.
+host_addresses free_addresses()
+{
+    asio::io_context io;
+    const tcp::endpoint any{asio::ip::address_v4::loopback(), 0};
+    const std::array<tcp::acceptor, 3> taken{tcp::acceptor{io, any}, tcp::acceptor{io, any},
+                                             tcp::acceptor{io, any}};
+    const auto text = [&taken](std::size_t i) {
+        return "127.0.0.1:" + std::to_string(taken.at(i).local_endpoint().port());
+    };
+    return {.caller = text(0), .admin = text(1), .peer = text(2)};
+}
+
+} // namespace
+
+host_process::host_process(std::string name_, std::filesystem::path program_,
+                           std::filesystem::path folder_, const std::string& store_address)
+    : own_name{std::move(name_)},
+      program{std::move(program_)},
+      folder{std::move(folder_)},
+      own_addresses{free_addresses()}
+{
+    std::ofstream out{this->folder / (this->own_name + ".toml")};
+    out << "name = \"" << this->own_name << "\"\nfailure_domain = \"hill\"\ncaller_address = \""
+        << this->own_addresses.caller << "\"\nadmin_address = \"" << this->own_addresses.admin
+        << "\"\npeer_address = \"" << this->own_addresses.peer << "\"\nstore_address = \""
+        << store_address << "\"\nreport_interval_s = 0.3\n";
+}
+
+host_process::~host_process()
+{
+    if (this->process != 0) {
+        ::kill(this->process, SIGKILL);
+        ::waitpid(this->process, nullptr, 0);
+    }
+}
+
+void host_process::start()
+{
+    if (this->runs()) {
+        return;
+    }
+    const auto settings = (this->folder / (this->own_name + ".toml")).string();
+    const auto log = (this->folder / (this->own_name + ".log")).string();
+    auto program_text = this->program.string();
+    auto settings_text = settings;
+    const std::array<char*, 3> arguments{program_text.data(), settings_text.data(), nullptr};
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    constexpr mode_t readable = 0644;
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, readable);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    const auto failed = ::posix_spawn(&this->process, program_text.c_str(), &actions, nullptr,
+                                      arguments.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (failed != 0) {
+        this->process = 0;
+        throw std::runtime_error{"cannot start " + program_text};
+    }
+    ++this->starts;
+}
+
+void host_process::signal(int number)
+{
+    if (this->process != 0) {
+        ::kill(this->process, number);
+    }
+}
+
+bool host_process::runs()
+{
+    int status = 0;
+    if (this->process != 0 && ::waitpid(this->process, &status, WNOHANG) == this->process) {
+        this->process = 0;
+        const bool explained = (WIFEXITED(status) && WEXITSTATUS(status) == 0) ||
+                               (WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL);
+        this->unexplained_ends += explained ? 0U : 1U;
+    }
+    return this->process != 0;
+}
+
+const std::string& host_process::name() const
+{
+    return this->own_name;
+}
+
+const host_addresses& host_process::addresses() const
+{
+    return this->own_addresses;
+}
+
+std::uint64_t host_process::life() const
+{
+    return this->starts;
+}
+
+std::uint32_t host_process::own_ends() const
+{
+    return this->unexplained_ends;
+}
+
+} // namespace figreach::soak
--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,120 @@
+// Plays seeds of faults against real entry hosts and checks the promises meanwhile.
+
+#include <cstdio>
+#include <filesystem>
+#include <iostream>
+#include <string>
+
+#include <boost/program_options.hpp>
+
+#include "../src/programs/program_main.h"
+#include "soak_run.h"
+
+namespace options = boost::program_options;
+using namespace figreach;
+using namespace figreach::soak;
+
+namespace {
+
+constexpr int exit_ok = 0;
+constexpr int exit_broken = 1;
+constexpr int exit_usage = 2;
+constexpr std::size_t most_shown = 5; ///< broken promises of one seed
+
+struct command_line {
+    soak_settings settings;
+    std::uint64_t count = 1;
+    bool expect_broken = false;
+    bool help = false;
+};
+
+options::options_description described_options(soak_settings& out, command_line& line)
+{
+    options::options_description text{
+        "figreach-soak --program figreach-direct [--seed N] [--count K]\n\n"
+        "Exit code 0: no promise was broken; 1: one was; 2: wrong command line.\n\nOptions"};
+    auto add = text.add_options();
+    add("help", "print this text");
+    add("program", options::value<std::filesystem::path>(&out.program), "the entry host");
+    add("folder", options::value<std::filesystem::path>(&out.folder)->default_value("soak-logs"),
+        "for settings and logs, one folder a seed");
+    add("seed", options::value<std::uint64_t>(&out.seed)->default_value(1), "the first seed");
+    add("count", options::value<std::uint64_t>(&line.count)->default_value(1), "number of seeds");
+    add("hosts", options::value<std::uint32_t>(&out.hosts)->default_value(out.hosts), "processes");
+    add("servers",
+        options::value<std::uint32_t>(&out.keyed_servers)->default_value(out.keyed_servers),
+        "backend servers divided by key");
+    add("callers", options::value<std::uint32_t>(&out.callers)->default_value(out.callers),
+        "connections at a time");
+    add("fault-seconds", options::value<std::int64_t>()->default_value(12), "time with faults");
+    add("ignore-fences", options::bool_switch(&out.servers_ignore_fences),
+        "backend servers keep keys that they have released; shows that the checks can fail");
+    add("expect-broken", options::bool_switch(&line.expect_broken),
+        "exit code 0 only if a promise was broken");
+    return text;
+}
+
+/// True: no promise was broken.
+bool play(const soak_settings& settings)
+{
+    std::filesystem::create_directories(settings.folder);
+    soak_run run{settings};
+    const auto& checks = run.run();
+    std::printf("seed %llu: %llu requests", static_cast<unsigned long long>(settings.seed),
+                static_cast<unsigned long long>(checks.requests()));
+    for (const auto& [status, count] : checks.endings()) {
+        std::printf(", %s %llu", status == 0 ? "no answer" : std::to_string(status).c_str(),
+                    static_cast<unsigned long long>(count));
+    }
+    std::printf("; %zu broken\n", checks.broken().size());
+    std::size_t shown = 0;
+    for (const auto& one : checks.broken()) {
+        if (shown++ < most_shown) {
+            std::printf("  %s: %s\n", name_of(one.which), one.detail.c_str());
+        }
+    }
+    if (!checks.broken().empty()) {
+        std::string faults;
+        for (const auto& [kind, count] : run.played()) {
+            faults += std::string{" "} + name_of(kind) + "=" + std::to_string(count);
+        }
+        std::printf("  faults:%s\n  logs: %s\n", faults.c_str(), settings.folder.c_str());
+    }
+    std::fflush(stdout);
+    return checks.broken().empty();
+}
+
+int run_all(const command_line& line)
+{
+    std::uint64_t broken = 0;
+    for (std::uint64_t i = 0; i < line.count; ++i) {
+        auto settings = line.settings;
+        settings.seed += i;
+        settings.folder /= "seed-" + std::to_string(settings.seed);
+        broken += play(settings) ? 0 : 1;
+    }
+    std::printf("%llu of %llu seeds with a broken promise\n",
+                static_cast<unsigned long long>(broken),
+                static_cast<unsigned long long>(line.count));
+    return (broken > 0) == line.expect_broken ? exit_ok : exit_broken;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    return run_program("figreach-soak", exit_usage, exit_broken, [&]() -> int {
+        command_line line;
+        const auto known = described_options(line.settings, line);
+        options::variables_map given;
+        options::store(options::parse_command_line(argc, argv, known), given);
+        options::notify(given);
+        line.help = given.contains("help");
+        if (line.help || line.settings.program.empty()) {
+            std::cout << known;
+            return line.help ? exit_ok : exit_usage;
+        }
+        line.settings.faults = seconds{given["fault-seconds"].as<std::int64_t>()};
+        return run_all(line);
+    });
+}
--- /dev/null
+++ b/soak/promise_checks.cpp
@@ -0,0 +1,170 @@
+#include "promise_checks.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace figreach::soak {
+
+namespace {
+
+/// Two holders at once are a broken promise from this time on, with requests or without.
+constexpr milliseconds longest_overlap{500};
+constexpr unsigned ok = 200;
+/// Each means that the request has not run and will not.
+constexpr unsigned not_run_statuses[] = {408, 421, 429, 503};
+
+bool says_not_run(unsigned status)
+{
+    return std::find(std::begin(not_run_statuses), std::end(not_run_statuses), status) !=
+           std::end(not_run_statuses);
+}
+
+} // namespace
+
+const char* name_of(promise which)
+{
+    switch (which) {
+    case promise::ran_once:
+        return "ran_once";
+    case promise::refusal_true:
+        return "refusal_true";
+    case promise::answer_own:
+        return "answer_own";
+    case promise::request_known:
+        return "request_known";
+    case promise::one_owner:
+        return "one_owner";
+    case promise::one_holder:
+        return "one_holder";
+    case promise::newest_version:
+        return "newest_version";
+    case promise::recovered:
+        return "recovered";
+    case promise::stayed_up:
+        return "stayed_up";
+    }
+    return "unknown";
+}
+
+void promise_checks::note(promise which, std::string detail)
+{
+    this->found.push_back({.which = which, .detail = std::move(detail)});
+}
+
+void promise_checks::sent(const sent_request& request)
+{
+    this->known[request.id].sent = request;
+}
+
+void promise_checks::ran(const std::string& id, std::uint64_t body_bytes)
+{
+    const auto request = this->known.find(id);
+    if (request == this->known.end()) {
+        this->note(promise::request_known, id + " was not sent");
+        return;
+    }
+    auto& known_one = request->second;
+    ++known_one.runs;
+    if (body_bytes != known_one.sent.body_bytes) {
+        this->note(promise::request_known, id + " ran with another body");
+    }
+    if (known_one.sent.idempotent) {
+        return;
+    }
+    if (known_one.runs > 1) {
+        this->note(promise::ran_once, id);
+    }
+    if (known_one.refused) {
+        this->note(promise::refusal_true, id + " ran after the refusal");
+    }
+}
+
+void promise_checks::ended(const request_ending& ending)
+{
+    ++this->counts[ending.status];
+    auto& request = this->known[ending.id];
+    if (ending.status == ok && ending.body != "answer to " + ending.id) {
+        this->note(promise::answer_own, ending.id + " got '" + ending.body + "'");
+    }
+    if (says_not_run(ending.status)) {
+        request.refused = true;
+        if (!request.sent.idempotent && request.runs > 0) {
+            this->note(promise::refusal_true, ending.id + " ran before the refusal");
+        }
+    }
+}
+
+void promise_checks::began(const key_holding& own, const std::vector<key_holding>& others,
+                           monotonic_time now)
+{
+    for (const auto& other : others) {
+        const auto last = this->last_begun.find({other.server, other.key});
+        const auto overlap = std::max(own.since, other.since);
+        if (last != this->last_begun.end() && last->second >= overlap) {
+            this->note(promise::one_owner, "key " + std::to_string(own.key) + " at " + own.server +
+                                               " and " + other.server);
+        }
+    }
+    this->last_begun[{own.server, own.key}] = now;
+}
+
+void promise_checks::held(std::uint32_t key, const std::vector<key_holding>& holders,
+                          monotonic_time now)
+{
+    const auto since = [&](const key_holding& one) { return now - one.since; };
+    const auto long_held = std::count_if(holders.begin(), holders.end(), [&](const auto& one) {
+        return since(one) > longest_overlap;
+    });
+    if (long_held < 2) {
+        return;
+    }
+    const auto detail =
+        "key " + std::to_string(key) + " at " + holders[0].server + " and " + holders[1].server;
+    if (this->long_overlaps.insert(detail).second) {
+        this->note(promise::one_holder, detail);
+    }
+}
+
+void promise_checks::served_version(const std::string& host, std::uint64_t life,
+                                    std::uint64_t version, bool found_route)
+{
+    auto& highest = this->versions[{host, life}];
+    if (found_route) {
+        highest = std::max(highest, version);
+    }
+    else if (version <= highest) {
+        this->note(promise::newest_version, host + " knew version " + std::to_string(highest) +
+                                                " and lacks " + std::to_string(version));
+    }
+}
+
+void promise_checks::calm_answers(std::uint64_t count)
+{
+    if (count == 0) {
+        this->note(promise::recovered, "no answer after the faults");
+    }
+}
+
+void promise_checks::own_ends(const std::string& host, std::uint32_t count)
+{
+    if (count > 0) {
+        this->note(promise::stayed_up, host + " ended by itself");
+    }
+}
+
+const std::vector<broken_promise>& promise_checks::broken() const
+{
+    return this->found;
+}
+
+std::uint64_t promise_checks::requests() const
+{
+    return this->known.size();
+}
+
+const std::map<unsigned, std::uint64_t>& promise_checks::endings() const
+{
+    return this->counts;
+}
+
+} // namespace figreach::soak
--- /dev/null
+++ b/soak/soak_run.cpp
@@ -0,0 +1,477 @@
+#include "soak_run.h"
+
+#include <algorithm>
+#include <csignal>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "figreach/direct/runtime/change_signal.h"
+#include "figreach/direct/stored_records.h"
+#include "figreach/retry_budget.h"
+#include "figreach/runtime/connection_pool.h"
+#include "names.h"
+
+namespace figreach::soak {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+namespace name = platform::name;
+
+namespace {
+
+constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+constexpr auto caller_host = "soak.example";
+constexpr auto keyed_service = "lessons";
+constexpr auto other_service = "library";
+constexpr milliseconds start_time{1500}; ///< for the hosts to know all servers
+constexpr milliseconds holder_check{50};
+constexpr std::uint32_t sampled_keys = 128;
+constexpr milliseconds caller_pause{40}; ///< longest one between two requests of a caller
+constexpr milliseconds request_limit{2000};
+constexpr milliseconds answer_limit = request_limit + milliseconds{1500};
+constexpr milliseconds connect_limit{1000};
+constexpr milliseconds slow_store{300};
+constexpr milliseconds slow_link{150};
+constexpr double lost_share = 0.3;
+constexpr std::uint64_t hot_keys = 24; ///< a few keys get half of the requests
+constexpr std::uint64_t largest_body = 60'000;
+constexpr milliseconds stop_limit{7000}; ///< from SIGTERM until a host is killed
+/// Clocks of backend servers run up to this much slow.
+constexpr double slow_clock = 0.98;
+
+} // namespace
+
+soak_run::soak_run(soak_settings settings_)
+    : settings{std::move(settings_)},
+      random_state{this->settings.seed},
+      store{this->io, this->model, this->settings.seed}
+{
+    this->write_configuration();
+    this->add_servers();
+    this->add_hosts();
+}
+
+void soak_run::add_servers()
+{
+    const auto all = this->settings.keyed_servers + this->settings.other_servers;
+    for (std::uint32_t i = 0; i < all; ++i) {
+        const bool keyed = i < this->settings.keyed_servers;
+        standin::backend_settings own{.service = keyed ? keyed_service : other_service,
+                                      .failure_domain = "hill",
+                                      .divided_by_key = keyed,
+                                      .clock_rate = i % 2 == 0 ? 1.0 : slow_clock};
+        auto server = std::make_unique<standin::backend_server>(
+            this->io, this->model, this->store, std::move(own), next_random(this->random_state),
+            [this](const auto& one, const auto& what) { this->begin(one, what); });
+        auto link = std::make_unique<fault_proxy>(this->io, server->address());
+        server->set_public_address(link->address());
+        server->faults.ignores_fences = this->settings.servers_ignore_fences;
+        server->start();
+        this->servers.push_back({.server = std::move(server), .link = std::move(link)});
+    }
+}
+
+void soak_run::add_hosts()
+{
+    for (std::uint32_t i = 0; i < this->settings.hosts; ++i) {
+        auto link = std::make_unique<fault_proxy>(this->io, this->store.address());
+        auto process =
+            std::make_unique<host_process>("host-" + std::to_string(i + 1), this->settings.program,
+                                           this->settings.folder, link->address());
+        process->start();
+        this->hosts.push_back({.store_link = std::move(link), .process = std::move(process)});
+    }
+}
+
+/// Routes to both services, and one for each version so far.
+void soak_run::write_configuration()
+{
+    json::array resources;
+    const auto add_route = [&](const std::string& path, const char* kind, const char* service) {
+        resources.push_back(json::object{{"type", "routes"},
+                                         {"metadata", json::object{{"name", "r" + path}}},
+                                         {"spec", json::object{{"host", caller_host},
+                                                               {"prefix", "/" + path + "/"},
+                                                               {"service", service},
+                                                               {"route_type", kind},
+                                                               {"timeout_s", 2},
+                                                               {"latency_target_s", 0.5},
+                                                               {"attempts", 2},
+                                                               {"priority", 1}}}});
+    };
+    const auto add_service = [&](const char* service, bool keyed) {
+        resources.push_back(json::object{{"type", "services"},
+                                         {"metadata", json::object{{"name", service}}},
+                                         {"spec", json::object{{"health_path", "/healthz"},
+                                                               {"max_conns", 200},
+                                                               {"sharded", keyed},
+                                                               {"cold_start_s", 0},
+                                                               {"cold_per_s", 100},
+                                                               {"warmup_s", 0}}}});
+    };
+    add_route("read", "safe", keyed_service);
+    add_route("order", "unsafe", keyed_service);
+    add_route("upload", "upload", other_service);
+    for (std::uint64_t i = 1; i <= this->version; ++i) {
+        add_route("v" + std::to_string(i), "safe", other_service);
+    }
+    add_service(keyed_service, true);
+    add_service(other_service, false);
+    resources.push_back(json::object{{"type", "limits"},
+                                     {"metadata", json::object{{"name", "limits"}}},
+                                     {"spec", json::object{{"max_header_bytes", 16384},
+                                                           {"max_body_bytes", 4194304},
+                                                           {"header_timeout_s", 5},
+                                                           {"idle_timeout_s", 30}}}});
+    const json::object all{{"version", "r" + std::to_string(this->version)},
+                           {"resources", std::move(resources)}};
+    const direct::store_transaction what{
+        .conditions = {},
+        .writes = {{.key = name::configuration_key, .value = json::serialize(all), .lease = 0}},
+        .removals = {}};
+    static_cast<void>(this->model.commit(what, monotonic_time::clock::now()));
+    this->store.notify();
+}
+
+const promise_checks& soak_run::run()
+{
+    asio::co_spawn(this->io, this->play(), asio::detached);
+    this->io.run();
+    this->hosts.clear();
+    return this->checks;
+}
+
+const std::map<fault_kind, std::uint32_t>& soak_run::played() const
+{
+    return this->counts;
+}
+
+void soak_run::begin(const standin::backend_server& server, const standin::backend_run& what)
+{
+    const auto now = monotonic_time::clock::now();
+    this->checks.ran(what.request_id, what.body_bytes);
+    if (!what.key) {
+        return;
+    }
+    std::vector<key_holding> others;
+    for (const auto& place : this->servers) {
+        const auto& other = *place.server;
+        if (&other != &server && other.is_up() && other.divided_by_key() &&
+            other.keys().holds(*what.key, now)) {
+            others.push_back({.server = other.id(),
+                              .key = *what.key,
+                              .since = other.keys().held_since(*what.key)});
+        }
+    }
+    this->checks.began(
+        {.server = server.id(), .key = *what.key, .since = server.keys().held_since(*what.key)},
+        others, now);
+}
+
+void soak_run::check_holders()
+{
+    const auto now = monotonic_time::clock::now();
+    for (std::uint32_t i = 0; i < sampled_keys; ++i) {
+        const auto key = i * (direct::key_count / sampled_keys);
+        std::vector<key_holding> holders;
+        for (const auto& place : this->servers) {
+            const auto& one = *place.server;
+            if (one.is_up() && one.divided_by_key() && one.keys().holds(key, now)) {
+                holders.push_back(
+                    {.server = one.id(), .key = key, .since = one.keys().held_since(key)});
+            }
+        }
+        this->checks.held(key, holders, now);
+    }
+}
+
+asio::awaitable<void> soak_run::play()
+{
+    co_await direct::sleep_for(this->io, start_time);
+    for (std::uint32_t i = 0; i < this->settings.callers; ++i) {
+        asio::co_spawn(this->io, this->call_on(), asio::detached);
+    }
+    const auto begun = monotonic_time::clock::now();
+    const auto plan = make_plan({.seed = this->settings.seed, .last = this->settings.faults});
+    auto end = begun;
+    auto next = plan.begin();
+    while (next != plan.end() || monotonic_time::clock::now() < end) {
+        const auto now = monotonic_time::clock::now();
+        while (next != plan.end() && now >= begun + next->at) {
+            ++this->counts[next->kind];
+            asio::co_spawn(this->io, this->bring(*next), asio::detached);
+            end = std::max(end, now + next->lasts);
+            ++next;
+        }
+        this->check_holders();
+        co_await direct::sleep_for(this->io, holder_check);
+    }
+    this->heal();
+    // A host that was told to stop goes on for a while before it can start again.
+    const auto calm_from = monotonic_time::clock::now() + stop_limit;
+    const auto last = calm_from + this->settings.calm;
+    while (monotonic_time::clock::now() < last) {
+        this->heal();
+        this->check_holders();
+        this->calm = monotonic_time::clock::now() >= calm_from;
+        co_await direct::sleep_for(this->io, holder_check);
+    }
+    this->calling = false;
+    this->checks.calm_answers(this->calm_answers);
+    for (const auto& host : this->hosts) {
+        host.process->signal(SIGTERM);
+    }
+    const auto killed = monotonic_time::clock::now() + stop_limit;
+    const auto runs = [](const host_place& one) { return one.process->runs(); };
+    while (std::any_of(this->hosts.begin(), this->hosts.end(), runs) &&
+           monotonic_time::clock::now() < killed) {
+        co_await direct::sleep_for(this->io, holder_check);
+    }
+    for (const auto& host : this->hosts) {
+        this->checks.own_ends(host.process->name(), host.process->own_ends());
+    }
+    this->io.stop();
+}
+
+/// Ends all faults and starts what does not run.
+void soak_run::heal()
+{
+    this->store.faults = {};
+    for (auto& place : this->servers) {
+        place.link->faults = {};
+        place.server->faults = {.ignores_fences = this->settings.servers_ignore_fences};
+        place.server->start();
+    }
+    for (auto& host : this->hosts) {
+        host.store_link->faults = {};
+        host.process->signal(SIGCONT);
+        host.process->start();
+    }
+}
+
+asio::awaitable<void> soak_run::bring(planned_fault fault)
+{
+    if (fault.kind <= fault_kind::host_cut_from_store) {
+        co_await this->harm_host(fault);
+    }
+    else if (fault.kind <= fault_kind::store_history_dropped) {
+        co_await this->harm_store(fault);
+    }
+    else if (fault.kind <= fault_kind::server_answers_lost) {
+        co_await this->harm_server(fault);
+    }
+    else if (fault.kind <= fault_kind::link_silent) {
+        co_await this->harm_link(fault);
+    }
+    else {
+        ++this->version;
+        this->write_configuration();
+    }
+}
+
+asio::awaitable<void> soak_run::harm_host(planned_fault fault)
+{
+    auto& host = this->hosts[fault.target % this->hosts.size()];
+    switch (fault.kind) {
+    case fault_kind::host_reloaded:
+        host.process->signal(SIGHUP);
+        co_return;
+    case fault_kind::host_paused:
+        host.process->signal(SIGSTOP);
+        co_await direct::sleep_for(this->io, fault.lasts);
+        host.process->signal(SIGCONT);
+        co_return;
+    case fault_kind::host_cut_from_store:
+        host.store_link->faults = {.cut_to = true, .cut_from = true};
+        co_await direct::sleep_for(this->io, fault.lasts);
+        host.store_link->faults = {};
+        co_return;
+    case fault_kind::all_hosts_killed:
+        for (auto& one : this->hosts) {
+            one.process->signal(SIGKILL);
+        }
+        break;
+    default:
+        host.process->signal(fault.kind == fault_kind::host_stopped ? SIGTERM : SIGKILL);
+        break;
+    }
+    co_await direct::sleep_for(this->io, fault.lasts);
+    for (auto& one : this->hosts) {
+        one.process->start();
+    }
+}
+
+asio::awaitable<void> soak_run::harm_store(planned_fault fault)
+{
+    auto& faults = this->store.faults;
+    switch (fault.kind) {
+    case fault_kind::store_leases_lapsed:
+        for (const auto& one : this->model.list(direct::own_prefix)) {
+            if (one.lease != 0) {
+                this->model.end_lease(one.lease);
+            }
+        }
+        this->store.notify();
+        co_return;
+    case fault_kind::store_history_dropped:
+        this->model.drop_history();
+        this->store.notify();
+        co_return;
+    case fault_kind::store_silent:
+        faults.silent = true;
+        break;
+    case fault_kind::store_busy:
+        faults.busy = true;
+        break;
+    case fault_kind::store_slow:
+        faults.delay = slow_store;
+        break;
+    default:
+        faults.lost_answers = lost_share;
+        break;
+    }
+    this->store.notify();
+    co_await direct::sleep_for(this->io, fault.lasts);
+    faults = {};
+}
+
+asio::awaitable<void> soak_run::harm_server(planned_fault fault)
+{
+    auto& server = *this->servers[fault.target % this->servers.size()].server;
+    switch (fault.kind) {
+    case fault_kind::server_crashed:
+        server.crash();
+        co_await direct::sleep_for(this->io, fault.lasts);
+        server.start();
+        co_return;
+    case fault_kind::server_left:
+        co_await server.leave(seconds{2} + fault.lasts);
+        server.start();
+        co_return;
+    case fault_kind::server_silent:
+        server.faults.silent = true;
+        break;
+    case fault_kind::server_cut_from_store:
+        server.faults.cut_from_store = true;
+        break;
+    default:
+        server.faults.lost_answers = lost_share;
+        break;
+    }
+    co_await direct::sleep_for(this->io, fault.lasts);
+    server.faults = {.ignores_fences = this->settings.servers_ignore_fences};
+}
+
+asio::awaitable<void> soak_run::harm_link(planned_fault fault)
+{
+    auto& link = *this->servers[fault.target % this->servers.size()].link;
+    if (fault.kind == fault_kind::link_reset) {
+        link.reset();
+        co_return;
+    }
+    link.faults = {.delay = fault.kind == fault_kind::link_delayed ? slow_link : milliseconds{0},
+                   .cut_to = fault.kind == fault_kind::link_cut_to ||
+                             fault.kind == fault_kind::link_silent,
+                   .cut_from = fault.kind == fault_kind::link_cut_from ||
+                               fault.kind == fault_kind::link_silent};
+    co_await direct::sleep_for(this->io, fault.lasts);
+    link.faults = {};
+}
+
+soak_run::prepared_request soak_run::prepare()
+{
+    const auto draw = [this](std::uint64_t below) {
+        return next_random(this->random_state) % below;
+    };
+    enum class route : std::uint8_t { read, more_reads, order, upload, probe, kinds };
+    const auto chosen = static_cast<route>(draw(static_cast<std::uint64_t>(route::kinds)));
+    prepared_request out;
+    out.sent.id = "soak-" + std::to_string(this->next_request++);
+    out.sent.idempotent = chosen != route::order && chosen != route::upload;
+    const auto key = draw(2) == 0 ? draw(hot_keys) : draw(direct::key_count);
+    std::string path = "/read/";
+    if (chosen == route::probe) {
+        out.version = 1 + draw(this->version);
+        path = "/v" + std::to_string(out.version) + "/";
+    }
+    else if (!out.sent.idempotent) {
+        path = chosen == route::order ? "/order/" : "/upload/";
+        out.sent.body_bytes = chosen == route::order ? draw(200) : draw(largest_body);
+    }
+    const auto method = out.sent.idempotent ? http::verb::get : http::verb::post;
+    out.message = direct::make_request(method, path, std::string(out.sent.body_bytes, 'x'));
+    out.message.set(http::field::host, caller_host);
+    out.message.set(name::request_id, out.sent.id);
+    out.message.set(name::time_limit, std::to_string(request_limit.count()));
+    if (chosen != route::upload && chosen != route::probe) {
+        out.message.set(name::key, std::to_string(key));
+    }
+    out.message.keep_alive(true);
+    out.message.prepare_payload();
+    return out;
+}
+
+/// The status; 0: the connection ended.
+asio::awaitable<unsigned> soak_run::exchange(boost::beast::tcp_stream& connection,
+                                             const prepared_request& request,
+                                             const host_process& host)
+{
+    const auto life = host.life();
+    this->checks.sent(request.sent);
+    connection.expires_after(answer_limit);
+    const auto [unsent, sent] = co_await http::async_write(connection, request.message, no_throw);
+    request_ending ending{.id = request.sent.id};
+    if (!unsent) {
+        boost::beast::flat_buffer buffer;
+        http::response_parser<http::string_body> parser;
+        const auto [failed, count] =
+            co_await http::async_read(connection, buffer, parser, no_throw);
+        if (!failed) {
+            ending.status = parser.get().result_int();
+            ending.body = parser.get().body();
+        }
+    }
+    this->checks.ended(ending);
+    const bool found = ending.status == 200;
+    if (request.version > 0 && (found || ending.status == 404) && host.life() == life) {
+        this->checks.served_version(host.name(), life, request.version, found);
+    }
+    this->calm_answers += this->calm && found ? 1U : 0U;
+    co_return ending.status;
+}
+
+/// One caller: stays with its connection until that ends, then takes another host.
+asio::awaitable<void> soak_run::call_on()
+{
+    const auto pause = static_cast<std::uint64_t>(caller_pause.count());
+    while (this->calling) {
+        const auto chosen = next_random(this->random_state) % this->hosts.size();
+        const auto& host = *this->hosts[chosen].process;
+        boost::beast::tcp_stream connection{this->io};
+        connection.expires_after(connect_limit);
+        const auto [failed] =
+            co_await connection.async_connect(to_endpoint(host.addresses().caller), no_throw);
+        bool open = !failed;
+        while (open && this->calling) {
+            const auto status = co_await this->exchange(connection, this->prepare(), host);
+            open = status != 0;
+            co_await direct::sleep_for(this->io,
+                                       milliseconds{next_random(this->random_state) % pause});
+        }
+        co_await direct::sleep_for(this->io, caller_pause);
+    }
+}
+
+} // namespace figreach::soak
--- /dev/null
+++ b/test/soak/fault_plan_test.cpp
@@ -0,0 +1,41 @@
+#include "fault_plan.h"
+
+#include <algorithm>
+#include <set>
+
+#include "../property.h"
+
+using namespace figreach;
+using namespace figreach::soak;
+
+TEST_GROUP(fault_plan_test){};
+
+TEST(fault_plan_test, is_the_same_for_the_same_seed_and_covers_all_kinds)
+{
+    std::set<fault_kind> seen;
+    constexpr std::uint64_t seeds = 50;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const plan_settings settings{.seed = seed};
+        const auto plan = make_plan(settings);
+        const auto again = make_plan(settings);
+        CHECK_FALSE(plan.empty());
+        CHECK_EQUAL(plan.size(), again.size());
+        for (std::size_t i = 0; i < plan.size(); ++i) {
+            CHECK_TRUE(plan[i].kind == again[i].kind && plan[i].at == again[i].at);
+            CHECK_TRUE(plan[i].at >= settings.first && plan[i].at < settings.last);
+            CHECK_TRUE(plan[i].lasts >= settings.shortest && plan[i].lasts < settings.longest);
+            seen.insert(plan[i].kind);
+        }
+    }
+    CHECK_EQUAL(static_cast<std::size_t>(fault_kind::kinds), seen.size());
+}
+
+TEST(fault_plan_test, names_each_kind)
+{
+    std::set<std::string> names;
+    for (int i = 0; i < static_cast<int>(fault_kind::kinds); ++i) {
+        names.insert(name_of(static_cast<fault_kind>(i)));
+    }
+    CHECK_EQUAL(static_cast<std::size_t>(fault_kind::kinds), names.size());
+    CHECK_FALSE(names.contains("unknown"));
+}
--- /dev/null
+++ b/test/soak/promise_checks_test.cpp
@@ -0,0 +1,149 @@
+#include "promise_checks.h"
+
+#include "../property.h"
+
+using namespace figreach;
+using namespace figreach::soak;
+
+namespace {
+
+constexpr monotonic_time start{std::chrono::hours{1}};
+
+struct check_row {
+    const char* name;
+    void (*play)(promise_checks& checks);
+    std::vector<promise> broken;
+};
+
+void order(promise_checks& checks)
+{
+    checks.sent({.id = "a", .idempotent = false, .body_bytes = 3});
+}
+
+key_holding holding(const char* server, milliseconds since)
+{
+    return {.server = server, .key = 7, .since = start + since};
+}
+
+const check_row check_rows[] = {
+    {"an order that ran once",
+     [](promise_checks& checks) {
+         order(checks);
+         checks.ran("a", 3);
+         checks.ended({.id = "a", .status = 200, .body = "answer to a"});
+     },
+     {}},
+    {"an order that ran twice",
+     [](promise_checks& checks) {
+         order(checks);
+         checks.ran("a", 3);
+         checks.ran("a", 3);
+     },
+     {promise::ran_once}},
+    {"a read that ran twice",
+     [](promise_checks& checks) {
+         checks.sent({.id = "a"});
+         checks.ran("a", 0);
+         checks.ran("a", 0);
+     },
+     {}},
+    {"an order that was refused after it had run",
+     [](promise_checks& checks) {
+         order(checks);
+         checks.ran("a", 3);
+         checks.ended({.id = "a", .status = 503});
+     },
+     {promise::refusal_true}},
+    {"an order that ran after it was refused",
+     [](promise_checks& checks) {
+         order(checks);
+         checks.ended({.id = "a", .status = 429});
+         checks.ran("a", 3);
+     },
+     {promise::refusal_true}},
+    {"an order whose outcome is not known",
+     [](promise_checks& checks) {
+         order(checks);
+         checks.ended({.id = "a", .status = 502});
+         checks.ran("a", 3);
+     },
+     {}},
+    {"the answer to another request",
+     [](promise_checks& checks) {
+         checks.sent({.id = "a"});
+         checks.ended({.id = "a", .status = 200, .body = "answer to b"});
+     },
+     {promise::answer_own}},
+    {"a request that nobody sent",
+     [](promise_checks& checks) { checks.ran("b", 0); },
+     {promise::request_known}},
+    {"a body that was cut",
+     [](promise_checks& checks) {
+         order(checks);
+         checks.ran("a", 2);
+     },
+     {promise::request_known}},
+    {"two servers begin requests on a key that both hold",
+     [](promise_checks& checks) {
+         checks.began(holding("x", milliseconds{0}), {}, start + milliseconds{50});
+         checks.began(holding("y", milliseconds{20}), {holding("x", milliseconds{0})},
+                      start + milliseconds{60});
+     },
+     {promise::one_owner}},
+    {"the former owner began its last request before the next one held the key",
+     [](promise_checks& checks) {
+         checks.began(holding("x", milliseconds{0}), {}, start + milliseconds{10});
+         checks.began(holding("y", milliseconds{20}), {holding("x", milliseconds{0})},
+                      start + milliseconds{60});
+     },
+     {}},
+    {"two servers hold a key for long",
+     [](promise_checks& checks) {
+         for (const auto at : {milliseconds{600}, milliseconds{650}}) {
+             checks.held(7, {holding("x", milliseconds{0}), holding("y", milliseconds{50})},
+                         start + at);
+         }
+     },
+     {promise::one_holder}},
+    {"two servers hold a key for a moment",
+     [](promise_checks& checks) {
+         checks.held(7, {holding("x", milliseconds{0}), holding("y", milliseconds{500})},
+                     start + milliseconds{600});
+     },
+     {}},
+    {"a host that goes back",
+     [](promise_checks& checks) {
+         checks.served_version("h", 1, 4, true);
+         checks.served_version("h", 1, 3, false);
+     },
+     {promise::newest_version}},
+    {"a host that knows less after a restart",
+     [](promise_checks& checks) {
+         checks.served_version("h", 1, 4, true);
+         checks.served_version("h", 2, 4, false);
+     },
+     {}},
+    {"nobody is served after the faults",
+     [](promise_checks& checks) { checks.calm_answers(0); },
+     {promise::recovered}},
+    {"a host that ends by itself",
+     [](promise_checks& checks) { checks.own_ends("h", 1); },
+     {promise::stayed_up}},
+};
+
+} // namespace
+
+TEST_GROUP(promise_checks_test){};
+
+TEST(promise_checks_test, finds_just_the_broken_promises)
+{
+    for (const auto& row : check_rows) {
+        promise_checks checks;
+        row.play(checks);
+        std::vector<promise> broken;
+        for (const auto& one : checks.broken()) {
+            broken.push_back(one.which);
+        }
+        CHECK_TRUE_TEXT(broken == row.broken, row.name);
+    }
+}
--- /dev/null
+++ b/test/soak/standin_test.cpp
@@ -0,0 +1,90 @@
+#include "key_holder.h"
+#include "store_model.h"
+
+#include "../property.h"
+
+using namespace figreach;
+using namespace figreach::standin;
+
+namespace {
+
+constexpr monotonic_time start{std::chrono::hours{1}};
+
+direct::store_transaction write_of(const char* key, std::int64_t revision, std::int64_t lease = 0)
+{
+    return {.conditions = {{.key = key, .revision = revision}},
+            .writes = {{.key = key, .value = "value", .lease = lease}},
+            .removals = {}};
+}
+
+struct fence_row {
+    const char* name;
+    std::uint64_t fence; ///< after a grant with fence 5
+    bool released;       ///< before
+    bool taken;
+};
+
+const fence_row fence_rows[] = {
+    {"a renewal", 5, false, true},
+    {"a higher fence", 6, false, true},
+    {"a lower fence", 4, false, false},
+    {"the same grant after a release renews it", 5, true, true},
+};
+
+} // namespace
+
+TEST_GROUP(standin_test){};
+
+TEST(standin_test, a_write_takes_effect_only_under_its_conditions)
+{
+    store_model store;
+    const auto first = store.commit(write_of("a", 0), start);
+    CHECK_TRUE(std::holds_alternative<std::int64_t>(first));
+    const auto conflict = store.commit(write_of("a", 0), start);
+    CHECK_TRUE(std::get<direct::store_failure>(conflict) == direct::store_failure::conflict);
+    const auto no_lease = store.commit(write_of("b", 0, 99), start);
+    CHECK_TRUE(std::get<direct::store_failure>(no_lease) == direct::store_failure::lease_gone);
+    CHECK_FALSE(store.find("b").has_value());
+    CHECK_EQUAL(1, store.changes_after("", 0)->size());
+}
+
+TEST(standin_test, items_end_with_their_lease)
+{
+    store_model store;
+    const auto lease = store.open_lease(seconds{1}, start);
+    CHECK_TRUE(std::holds_alternative<std::int64_t>(store.commit(write_of("a", 0, lease), start)));
+    CHECK_TRUE(store.renew_lease(lease, start + milliseconds{900}));
+    store.expire(start + milliseconds{1800});
+    CHECK_TRUE(store.find("a").has_value());
+    store.expire(start + milliseconds{1900});
+    CHECK_FALSE(store.find("a").has_value());
+    CHECK_TRUE(store.changes_after("a", 0)->back().removed);
+    CHECK_FALSE(store.renew_lease(lease, start + seconds{2}));
+}
+
+TEST(standin_test, a_watch_begins_anew_once_the_history_is_gone)
+{
+    store_model store;
+    const auto before = store.revision();
+    CHECK_TRUE(std::holds_alternative<std::int64_t>(store.commit(write_of("a", 0), start)));
+    store.drop_history();
+    CHECK_FALSE(store.changes_after("a", before).has_value());
+    CHECK_TRUE(store.changes_after("a", store.revision()).has_value());
+}
+
+TEST(standin_test, a_server_checks_fences)
+{
+    const direct::key_span keys{.first = 10, .last = 20};
+    for (const auto& row : fence_rows) {
+        key_holder holder;
+        CHECK_TRUE_TEXT(holder.grant(keys, 5, seconds{2}, start), row.name);
+        if (row.released) {
+            holder.release(keys, 5);
+            CHECK_FALSE_TEXT(holder.holds(15, start), row.name);
+        }
+        CHECK_EQUAL_TEXT(row.taken, holder.grant(keys, row.fence, seconds{2}, start), row.name);
+        CHECK_TRUE_TEXT(!row.taken || holder.holds(15, start + milliseconds{1999}), row.name);
+        CHECK_FALSE_TEXT(holder.holds(15, start + seconds{2}), row.name);
+        CHECK_FALSE_TEXT(holder.holds(21, start), row.name);
+    }
+}
