--- a/include/figreach/direct/runtime/store_feed.h
+++ b/include/figreach/direct/runtime/store_feed.h
@@ -11,6 +11,7 @@
 #include "figreach/direct/follow.h"
 #include "figreach/direct/runtime/host_context.h"
 #include "figreach/direct/runtime/http_client.h"
+#include "figreach/direct/watch_pace.h"
 
 namespace figreach::direct {
 
@@ -41,6 +42,7 @@
     struct part_state {
         change_log log;
         std::optional<std::int64_t> position; ///< empty: a snapshot is needed
+        std::uint32_t failures = 0;           ///< calls in a row without an answer
     };
 
     boost::asio::awaitable<void> watch(store_part part);
@@ -52,7 +54,8 @@
     [[nodiscard]] std::optional<leader_hint> believed_leader() const;
     [[nodiscard]] std::optional<part_positions> positions() const;
     [[nodiscard]] milliseconds wait_of_followers() const;
-    [[nodiscard]] milliseconds pause_after_changes() const;
+    [[nodiscard]] watch_pace pace() const;
+    boost::asio::awaitable<void> pause_after_failure(store_part part);
     [[nodiscard]] std::optional<follow_answer> news(const follow_request& request) const;
     void apply(store_part part, store_changes changes);
     [[nodiscard]] std::optional<finding> find_in(const store_change& change) const;
--- a/src/direct/runtime/host_context.cpp
+++ b/src/direct/runtime/host_context.cpp
@@ -55,6 +55,7 @@
     const auto away = std::chrono::floor<milliseconds>(now - this->store_lost_since);
     log_change(log_level::info, "store_regained", {{"away_ms", std::to_string(away.count())}});
     this->beliefs.store_returned(away, now);
+    this->changed.notify();
 }
 
 retry_budget& host_context::budget_of(const service_id& service)
--- a/src/direct/runtime/store_feed.cpp
+++ b/src/direct/runtime/store_feed.cpp
@@ -26,13 +26,8 @@
 constexpr milliseconds leader_watch_wait{600};
 constexpr milliseconds leader_watch_reserve{400};
 constexpr milliseconds read_timeout{1000};
-constexpr milliseconds retry_pause{200};
-/// Changes that come in quick succession are taken together.
-constexpr milliseconds watch_pause{15};
-constexpr milliseconds longest_watch_pause{400};
-/// While nobody leads all hosts watch, and each change, of which there are as many as hosts when
-/// all start, would wake all of them.
-constexpr milliseconds watch_pause_for_each_host{4};
+/// For which the other parts wait for the one that finds out whether the store is back.
+constexpr milliseconds part_wait{1000};
 /// For which an answer to a following host waits for a change; loads are told as often.
 constexpr milliseconds follow_wait{200};
 constexpr milliseconds longest_follow_wait{800};
@@ -90,7 +85,11 @@
 {
     for (;;) {
         const auto position = this->parts[part].position;
-        if (!position) {
+        if (!this->state.store_reachable && part != store_part::own) {
+            // The watch of one part is enough to find out that the store is back.
+            co_await this->state.changed.wait(monotonic_time::clock::now() + part_wait);
+        }
+        else if (!position) {
             co_await this->take_snapshot(part);
         }
         else if (monotonic_time::clock::now() < this->followed_until) {
@@ -109,9 +108,10 @@
         co_await this->state.store.read_all(platform::prefix_of(part), read_timeout);
     if (const auto* failure = std::get_if<store_failure>(&outcome)) {
         this->state.note_store(answers(*failure), asked);
-        co_await sleep_for(this->state.io, retry_pause);
+        co_await this->pause_after_failure(part);
         co_return;
     }
+    this->parts[part].failures = 0;
     this->state.note_store(true, asked);
     this->apply_whole(part, std::get<store_snapshot>(outcome));
 }
@@ -119,7 +119,9 @@
 asio::awaitable<void> store_feed::take_changes(store_part part, std::int64_t after)
 {
     const auto asked = monotonic_time::clock::now();
-    const auto wait = this->state.leads ? leader_watch_wait : watch_wait;
+    const auto usual_wait = this->state.leads ? leader_watch_wait : watch_wait;
+    // An answer at once shows that the store is back.
+    const auto wait = this->state.store_reachable ? usual_wait : milliseconds{0};
     const auto reserve = this->state.leads ? leader_watch_reserve : watch_reserve;
     auto outcome =
         co_await this->state.store.watch(platform::prefix_of(part), after, wait, wait + reserve);
@@ -130,25 +132,29 @@
             co_return;
         }
         this->state.note_store(answers(*failure), asked);
-        co_await sleep_for(this->state.io, retry_pause);
+        co_await this->pause_after_failure(part);
         co_return;
     }
+    this->parts[part].failures = 0;
     this->state.note_store(true, asked);
     auto& changes = std::get<store_changes>(outcome);
     const bool news = !changes.changes.empty();
     this->apply(part, std::move(changes));
     if (news) {
-        co_await sleep_for(this->state.io, this->pause_after_changes());
+        co_await sleep_for(this->state.io, this->pace().after_changes());
     }
 }
 
-milliseconds store_feed::pause_after_changes() const
+watch_pace store_feed::pace() const
 {
-    if (this->state.leads) {
-        return watch_pause;
-    }
-    const auto hosts = static_cast<std::int64_t>(this->state.beliefs.host_count());
-    return std::clamp(watch_pause_for_each_host * hosts, watch_pause, longest_watch_pause);
+    return {.leads = this->state.leads, .hosts = this->state.beliefs.host_count()};
+}
+
+asio::awaitable<void> store_feed::pause_after_failure(store_part part)
+{
+    const auto failures = ++this->parts[part].failures;
+    const auto random = next_random(this->state.random_state);
+    co_await sleep_for(this->state.io, this->pace().after_failure(failures, random));
 }
 
 /// The meaning of a change; nothing when it builds on a version that is not known here.
@@ -302,7 +308,8 @@
 asio::awaitable<void> store_feed::look_around()
 {
     const auto now = monotonic_time::clock::now();
-    if (now >= this->next_probe) {
+    // While the store does not answer the watch finds out when it does.
+    if (this->state.store_reachable && now >= this->next_probe) {
         this->next_probe = now + probe_interval;
         const auto found = co_await this->state.store.read(leader_key, probe_timeout);
         const auto* failure = std::get_if<store_failure>(&found);
