--- a/soak/host_process.cpp
+++ b/soak/host_process.cpp
@@ -21,13 +21,33 @@
 
 namespace {
 
-/// Three free ports. They stay free unless another program takes them before the host starts.
+/// Below the ports that outgoing connections take, so that none of them sits on a host's port while
+/// the host is down.
+constexpr unsigned first_port = 10000;
+constexpr unsigned port_count = 20000;
+/// Soaks that run at the same time begin their search apart from one another.
+constexpr unsigned ports_for_each_soak = 64;
+
+tcp::acceptor take_free_port(asio::io_context& io)
+{
+    static unsigned next = static_cast<unsigned>(::getpid()) * ports_for_each_soak;
+    for (unsigned tried = 0; tried < port_count; ++tried) {
+        const auto port = static_cast<std::uint16_t>(first_port + next++ % port_count);
+        tcp::acceptor out{io, tcp::v4()};
+        boost::system::error_code failed;
+        out.bind({asio::ip::address_v4::loopback(), port}, failed);
+        if (!failed) {
+            return out;
+        }
+    }
+    throw std::runtime_error{"no free port for an entry host"};
+}
+
 host_addresses free_addresses()
 {
     asio::io_context io;
-    const tcp::endpoint any{asio::ip::address_v4::loopback(), 0};
-    const std::array<tcp::acceptor, 3> taken{tcp::acceptor{io, any}, tcp::acceptor{io, any},
-                                             tcp::acceptor{io, any}};
+    const std::array<tcp::acceptor, 3> taken{take_free_port(io), take_free_port(io),
+                                             take_free_port(io)};
     const auto text = [&taken](std::size_t i) {
         return "127.0.0.1:" + std::to_string(taken.at(i).local_endpoint().port());
     };
