--- a/test/soak/standin_test.cpp
+++ b/test/soak/standin_test.cpp
@@ -62,6 +62,16 @@
     CHECK_FALSE(store.renew_lease(lease, start + seconds{2}));
 }
 
+TEST(standin_test, items_without_a_lease_stay_when_a_lease_that_is_not_there_ends)
+{
+    store_model store;
+    CHECK_TRUE(std::holds_alternative<std::int64_t>(store.commit(write_of("a", 0), start)));
+    for (const std::int64_t id : {0, 7}) {
+        store.end_lease(id);
+        CHECK_TRUE(store.find("a").has_value());
+    }
+}
+
 TEST(standin_test, a_watch_begins_anew_once_the_history_is_gone)
 {
     store_model store;
