A request whose caller has left before it was read is not sent

Cause: the host reads the request and its end together, and sends before the watch of the caller reports. Now the connection is looked at once before. The test fails before.

--- a/src/direct/runtime/caller_connection.cpp
+++ b/src/direct/runtime/caller_connection.cpp
@@ -149,6 +149,10 @@
 
 asio::awaitable<bool> caller_connection::serve(caller_request request, bool keep)
 {
+    // On a host without processor time the caller may have given up long ago.
+    if (has_left(this->stream.socket())) {
+        co_return false;
+    }
     request_runner runner{this->state, this->feed};
     this->stream.expires_never();
     request_outcome outcome = caller_has_left{};
--- a/test/direct/request_path_test.cpp
+++ b/test/direct/request_path_test.cpp
@@ -118,6 +118,12 @@
         return out;
     }
 
+    /// The host does nothing until `go_on` is ready, as one without processor time.
+    void hold_up(std::shared_future<void> go_on)
+    {
+        asio::post(this->io, [go_on = std::move(go_on)] { go_on.wait(); });
+    }
+
     /// A caller that sends a request and then waits.
     tcp::socket call(asio::io_context& own, const std::string& request)
     {
@@ -418,6 +424,21 @@
     CHECK_TRUE(end.get() == asio::error::connection_reset);
 }
 
+/// Pattern: a host without processor time reads a request long after its caller has given up.
+TEST(request_path_test, a_request_whose_caller_has_left_before_it_was_read_is_not_sent)
+{
+    scripted_server server{{good("first"), good("second")}};
+    path_fixture host{server.address()};
+    std::promise<void> go_on;
+    host.hold_up(go_on.get_future().share());
+    asio::io_context own;
+    host.call(own, read_one).close();
+    go_on.set_value();
+    // Served after the one before it.
+    CHECK_TRUE(host.exchange(read_one).starts_with("HTTP/1.1 200"));
+    CHECK_EQUAL(1, server.requests());
+}
+
 TEST(request_path_test, a_refusal_says_when_to_come_back)
 {
     scripted_server server{{}};
