Log the rate limits that backend servers name

A server that is short of capacity names a limit of requests a second in its answers.

The limit is decoded; a value that is no number, negative or above a million is ignored with one log line for each server. Hosts log each change that they see (server_limit), the limit that a request met, and count limited servers. Nothing decides by it yet. The fixture of the request path moves to a header for other tests.

--- a/include/figreach/direct/runtime/host_context.h
+++ b/include/figreach/direct/runtime/host_context.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -10,9 +11,11 @@
 #include "figreach/direct/direct_settings.h"
 #include "figreach/direct/runtime/change_signal.h"
 #include "figreach/direct/server_load_tracker.h"
+#include "figreach/direct/server_rate_limits.h"
 #include "figreach/retry_budget.h"
 #include "figreach/runtime/connection_pool.h"
 #include "figreach/runtime/metrics.h"
+#include "request_codec.h"
 #include "store_client.h"
 
 namespace figreach::direct {
@@ -25,6 +28,12 @@
     /// Records whether the store answered a call made at `called_at`. Logs when the store becomes
     /// unreachable or reachable again.
     void record_store_call(bool answered, monotonic_time called_at);
+    /// Records what an answer of a backend server says about the rate that it accepts. Logs
+    /// changes, and the first of several fields that cannot be read.
+    void record_rate_limit(const backend_server_id& server, const platform::answer_head& head,
+                           monotonic_time now);
+    /// Drops what is known about backend servers that no longer exist.
+    void forget_removed_servers(monotonic_time now);
     /// This host's retry budget for requests to `service`.
     [[nodiscard]] retry_budget& retry_budget_for(const service_id& service);
 
@@ -37,7 +46,9 @@
     cluster_state cluster;
     change_signal cluster_changed; ///< notified when `cluster` changes
     server_load_tracker load_tracker;
-    connection_pool server_connections; ///< connections for caller requests
+    server_rate_limits rate_limits;
+    std::set<backend_server_id> invalid_rate_limits; ///< servers whose last field was invalid
+    connection_pool server_connections;              ///< connections for caller requests
     std::map<service_id, retry_budget> retry_budgets;
     std::uint64_t random_state;
     bool store_reachable = true;
--- a/include/figreach/direct/server_entry.h
+++ b/include/figreach/direct/server_entry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "figreach/ids.h"
@@ -31,6 +32,15 @@
     friend bool operator==(const load_report&, const load_report&) = default;
 };
 
+/// What a backend server said last about the rate that it accepts.
+struct rate_limit_report {
+    backend_server_id server;
+    std::optional<double> rate; ///< requests per second from all hosts; empty if it names no limit
+    milliseconds age{0};
+
+    friend bool operator==(const rate_limit_report&, const rate_limit_report&) = default;
+};
+
 /// A load report received by any host.
 struct server_load {
     backend_server_id server;
--- a/src/direct/runtime/direct_host.cpp
+++ b/src/direct/runtime/direct_host.cpp
@@ -106,6 +106,7 @@
             }
             this->leader.record_service_times(this->state.load_tracker.take_service_times());
         }
+        this->state.forget_removed_servers(monotonic_time::clock::now());
         std::erase_if(this->connections, [](const auto& one) { return one.expired(); });
         if (!this->ready && this->state.cluster.is_complete()) {
             this->ready = true;
@@ -185,6 +186,8 @@
         metric_type::counter, [this] { return this->state.store.failures(); });
     add("requests_in_flight", "Requests under way.", metric_type::gauge,
         [this] { return std::uint64_t{this->state.in_flight}; });
+    add("servers_with_rate_limit", "Backend servers that name a limit of requests per second.",
+        metric_type::gauge, [this] { return std::uint64_t{this->state.rate_limits.count()}; });
     add("ready", "Whether the host takes new connections.", metric_type::gauge,
         [this] { return std::uint64_t{this->ready ? 1U : 0U}; });
 }
--- a/src/direct/runtime/host_context.cpp
+++ b/src/direct/runtime/host_context.cpp
@@ -17,6 +17,11 @@
 /// In report intervals; see directory_settings::min_outage.
 constexpr int absence_reports = 2;
 
+std::string rate_text(std::optional<double> rate)
+{
+    return rate ? std::to_string(*rate) : "none";
+}
+
 std::uint64_t start_time_ms()
 {
     const auto since = calendar_time::clock::now().time_since_epoch();
@@ -36,6 +41,7 @@
       cluster{directory_settings{.min_outage = absence_reports * settings_.report_interval}},
       cluster_changed{io_},
       load_tracker{load_tracker_settings{}},
+      rate_limits{rate_limit_settings{}},
       server_connections{io_, max_idle_per_server},
       random_state{std::random_device{}()}
 {
@@ -59,6 +65,36 @@
     this->cluster_changed.notify();
 }
 
+void host_context::record_rate_limit(const backend_server_id& server,
+                                     const platform::answer_head& head, monotonic_time now)
+{
+    if (!head.invalid_rate_limit.empty()) {
+        if (this->invalid_rate_limits.insert(server).second) {
+            log_event(log_level::warn, "server_limit_invalid",
+                      {{"server", server.value}, {"field", head.invalid_rate_limit}});
+        }
+        return;
+    }
+    this->invalid_rate_limits.erase(server);
+    const auto former = this->rate_limits.rate_of(server);
+    if (this->rate_limits.on_answer(server, head.rate_limit, now)) {
+        log_event(log_level::info, "server_limit",
+                  {{"server", server.value},
+                   {"per_second", rate_text(head.rate_limit)},
+                   {"former", rate_text(former)},
+                   {"source", "answer"}});
+    }
+}
+
+void host_context::forget_removed_servers(monotonic_time now)
+{
+    const auto is_known = [this](const backend_server_id& id) {
+        return this->cluster.servers().find(id) != nullptr;
+    };
+    this->rate_limits.prune(is_known, now);
+    std::erase_if(this->invalid_rate_limits, [&](const auto& id) { return !is_known(id); });
+}
+
 retry_budget& host_context::retry_budget_for(const service_id& service)
 {
     const auto known = this->retry_budgets.find(service);
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -321,6 +321,10 @@
     const auto record = [&](send_outcome ending) {
         this->state.load_tracker.on_finished(to.id, ending, latency, result.head.load, now);
     };
+    if (result.outcome == exchange_outcome::answered ||
+        result.outcome == exchange_outcome::not_run) {
+        this->state.record_rate_limit(to.id, result.head, now);
+    }
     switch (result.outcome) {
     case exchange_outcome::answered:
         if (is_server_error(result.answer)) {
@@ -410,6 +414,7 @@
     const auto duration = monotonic_time::clock::now() - request.arrival;
     const auto* table =
         this->service != nullptr ? this->state.cluster.keys(this->service->name) : nullptr;
+    const auto limit = this->state.rate_limits.rate_of(this->last_target.id);
     log_event(log_level::info, "request",
               {{"id", request.head.request_id},
                {"outcome", outcome_text(outcome)},
@@ -421,6 +426,7 @@
                {"next_fence", table != nullptr ? std::to_string(table->next_fence) : ""},
                {"server", this->last_target.id.value},
                {"fence", std::to_string(this->last_target.fence)},
+               {"server_limit", limit ? std::to_string(*limit) : ""},
                {"sends", this->attempts ? std::to_string(this->attempts->sends()) : "0"},
                {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(duration).count())}});
 }
--- /dev/null
+++ b/test/direct/path_fixture.h
@@ -0,0 +1,216 @@
+#pragma once
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+
+#include "../property.h"
+#include "../runtime/plane_fixture.h"
+#include "figreach/direct/runtime/caller_connection.h"
+
+namespace figreach::direct {
+
+namespace asio = boost::asio;
+
+inline const std::string signature = "Figreach-Server-Stamp: 3e1b\r\n";
+inline const std::string own_id = "Figreach-Request-Id: 9c41\r\n";
+
+inline std::string answer(const char* status, const std::string& fields, const std::string& body)
+{
+    return std::string{"HTTP/1.1 "} + status + "\r\n" + fields +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+inline std::string success(const std::string& body)
+{
+    return answer("200 OK", own_id + signature, body);
+}
+
+/// A backend server that answers each request with the next scripted response. It closes the
+/// connection instead of sending an empty response and when no responses are left.
+class scripted_server {
+public:
+    explicit scripted_server(std::vector<std::string> answers_)
+        : answers{std::move(answers_)}, upstream{[this](tcp::socket& socket) {
+              this->serve(socket);
+          }}
+    {
+    }
+
+    [[nodiscard]] std::string address() const { return this->upstream.address(); }
+    [[nodiscard]] std::size_t requests() const { return this->served; }
+    /// Header of the last request. Read it only after the request was answered.
+    [[nodiscard]] const std::string& last_head() const { return this->head; }
+
+private:
+    void serve(tcp::socket& socket)
+    {
+        boost::system::error_code failed;
+        asio::streambuf buffer;
+        for (;;) {
+            const auto size = asio::read_until(socket, buffer, "\r\n\r\n", failed);
+            if (failed) {
+                return;
+            }
+            this->head.assign(asio::buffers_begin(buffer.data()),
+                              asio::buffers_begin(buffer.data()) +
+                                  static_cast<std::ptrdiff_t>(size));
+            buffer.consume(size);
+            const auto index = this->served++;
+            if (index >= this->answers.size() || this->answers[index].empty()) {
+                return;
+            }
+            const auto& text = this->answers[index];
+            asio::write(socket, asio::buffer(text), failed);
+            const bool has_length = text.find("Content-Length") != std::string::npos;
+            if (!has_length || text.find("Connection: close") != std::string::npos) {
+                return;
+            }
+        }
+    }
+
+    std::vector<std::string> answers;
+    std::string head;
+    std::atomic<std::size_t> served{0};
+    fake_upstream upstream;
+};
+
+/// The request path of an entry host with a preset cluster state.
+class path_fixture {
+public:
+    explicit path_fixture(const std::string& server_address)
+        : state{this->io, settings(), this->metrics_page}, feed{this->state}
+    {
+        this->set_cluster_state(server_address);
+        this->acceptor.listen();
+        asio::co_spawn(this->io, this->accept(), asio::detached);
+        this->io_thread = std::thread{[this] { this->io.run(); }};
+    }
+    ~path_fixture()
+    {
+        this->io.stop();
+        this->io_thread.join();
+    }
+    path_fixture(const path_fixture&) = delete;
+    path_fixture& operator=(const path_fixture&) = delete;
+
+    /// Returns everything the host writes until it closes the connection.
+    std::string exchange(const std::string& request)
+    {
+        asio::io_context own;
+        auto socket = this->call(own, request);
+        std::string out;
+        boost::system::error_code failed;
+        std::array<char, 4096> chunk{};
+        while (!failed) {
+            const auto count = socket.read_some(asio::buffer(chunk), failed);
+            out.append(chunk.data(), count);
+        }
+        return out;
+    }
+
+    /// Blocks the host until `resume` is ready, simulating a lack of CPU time.
+    void block_event_loop(std::shared_future<void> resume)
+    {
+        asio::post(this->io, [resume = std::move(resume)] { resume.wait(); });
+    }
+
+    /// Connects as a caller and sends a request without reading the response.
+    tcp::socket call(asio::io_context& own, const std::string& request)
+    {
+        tcp::socket socket{own};
+        socket.connect(this->acceptor.local_endpoint());
+        asio::write(socket, asio::buffer(request));
+        return socket;
+    }
+
+private:
+    static direct_settings settings()
+    {
+        direct_settings out;
+        out.name = {"h1"};
+        out.store_address = "127.0.0.1:1";
+        return out;
+    }
+
+    static route_rule make_route(const char* prefix, request_kind kind, const char* service)
+    {
+        return {.name = prefix,
+                .host = "a.example",
+                .prefix = prefix,
+                .kind = kind,
+                .services = {{.service = {service}, .weight = 1}},
+                .max_servers = 2,
+                .timeout = std::chrono::minutes{5},
+                .latency_objective = seconds{1}};
+    }
+
+    void set_cluster_state(const std::string& server_address)
+    {
+        route_configuration all;
+        all.version = 1;
+        all.routes = {make_route("/read/", request_kind::idempotent, "lessons"),
+                      make_route("/order/", request_kind::non_idempotent, "lessons"),
+                      make_route("/media/", request_kind::idempotent, "media"),
+                      make_route("/nobody/", request_kind::non_idempotent, "empty")};
+        all.services[{"lessons"}] = {.name = {"lessons"}, .divided_by_key = true};
+        all.services[{"media"}] = {.name = {"media"}};
+        all.services[{"empty"}] = {.name = {"empty"}};
+        key_table table = make_key_table({"lessons"});
+        table.ranges.front() = {
+            .keys = table.ranges.front().keys, .owner = {"s1"}, .owner_lifetime = 1, .fence = 1};
+        table.next_fence = 2;
+        const auto entry = [&](const char* id, const char* service) {
+            return server_update{{.id = {id},
+                                  .lifetime = 1,
+                                  .service = {service},
+                                  .address = server_address,
+                                  .slots = 4}};
+        };
+        const auto now = monotonic_time::clock::now();
+        auto& cluster = this->state.cluster;
+        (void)cluster.apply(store_part::operators, {configuration_update{all}}, true, now);
+        (void)cluster.apply(store_part::servers, {entry("s1", "lessons"), entry("m1", "media")},
+                            true, now);
+        (void)cluster.apply(store_part::own,
+                            {key_table_update{.table = table, .revision = 1},
+                             host_update{{.name = {"h1"}, .lifetime = 1}}},
+                            true, now);
+    }
+
+    asio::awaitable<void> accept()
+    {
+        for (;;) {
+            auto socket = co_await this->acceptor.async_accept(asio::use_awaitable);
+            const auto connection =
+                std::make_shared<caller_connection>(std::move(socket), this->state, this->feed);
+            asio::co_spawn(this->io, connection->run(), asio::detached);
+        }
+    }
+
+    asio::io_context io{1};
+    metrics metrics_page;
+    host_context state;
+    store_feed feed;
+    tcp::acceptor acceptor{this->io, {asio::ip::make_address("127.0.0.1"), 0}};
+    std::thread io_thread;
+};
+
+inline std::string request(const std::string& line, const std::string& more = "")
+{
+    return line + " HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n" + own_id +
+           "Figreach-Shard-Key: 7\r\n" + more + "\r\n";
+}
+
+inline const std::string read_one = request("GET /read/1");
+inline const std::string order_one = request("POST /order/1", "Content-Length: 0\r\n");
+
+} // namespace figreach::direct
--- a/test/platform/request_codec_test.cpp
+++ b/test/platform/request_codec_test.cpp
@@ -39,6 +39,28 @@
     {"3,5,8,x", false, 0, 1.0}, {"3,,8", false, 0, 1.0},
 };
 
+struct rate_limit_row {
+    const char* text;
+    double rate;         ///< negative if there is none
+    const char* invalid; ///< quoted start of an invalid field
+};
+
+const rate_limit_row rate_limit_rows[] = {
+    {"6.4", 6.4, ""},
+    {" 12 ", 12.0, ""},
+    {"0", 0.0, ""},
+    {"1000000", 1e6, ""},
+    {"", -1.0, "\"\""},
+    {"many", -1.0, "\"many\""},
+    {"-3", -1.0, "\"-3\""},
+    {"nan", -1.0, "\"nan\""},
+    {"inf", -1.0, "\"inf\""},
+    {"5 per second", -1.0, "\"5 per second\""},
+    {"1e3", -1.0, "\"1e3\""},
+    {"1000001", -1.0, "\"1000001\""},
+    {"99999999999999999999999999999999999999", -1.0, "\"99999999999999999999999999999999\""},
+};
+
 struct answer_row {
     const char* name;
     unsigned status;
@@ -112,6 +134,18 @@
     }
 }
 
+TEST(request_codec_test, reads_rate_limits_and_reports_invalid_ones)
+{
+    CHECK_FALSE(decode_answer_head(200, http::fields{}).rate_limit.has_value());
+    for (const auto& row : rate_limit_rows) {
+        http::fields fields;
+        fields.set("Server-Limit", row.text);
+        const auto head = decode_answer_head(200, fields);
+        DOUBLES_EQUAL_TEXT(row.rate, head.rate_limit.value_or(-1.0), 0.001, row.text);
+        STRCMP_EQUAL_TEXT(row.invalid, head.invalid_rate_limit.c_str(), row.text);
+    }
+}
+
 TEST(request_codec_test, tells_what_did_not_run)
 {
     for (const auto& row : answer_rows) {
