Let entry hosts serve requests that other entry hosts pass on

What must be exact over all hosts, and requests at a host without a path to any backend server, need a second host to send. A request that bears the name of another entry host is accepted at the address for peers, served like a caller's and answered with the server's answer or with the refusal as such. The first host alone retries. No host passes requests on yet.

--- a/include/figreach/direct/cluster_state.h
+++ b/include/figreach/direct/cluster_state.h
@@ -121,6 +121,8 @@
                                                                         monotonic_time now) const;
     /// Returns null if the host is not known.
     [[nodiscard]] const live_host* find_host(const host_id& name) const;
+    /// Whether the store holds the registration of the host.
+    [[nodiscard]] bool is_registered(const host_id& name) const;
     [[nodiscard]] bool has_leader() const;
     [[nodiscard]] const leader_term& term() const;
     /// Whether each part has been read at least once and a configuration is known.
--- a/include/figreach/direct/runtime/exchange.h
+++ b/include/figreach/direct/runtime/exchange.h
@@ -38,6 +38,9 @@
                                                  std::shared_ptr<const http_request> request,
                                                  std::string request_id, monotonic_time deadline);
 
+/// The caller's message without the header fields that concern only the caller's connection.
+[[nodiscard]] http_request make_upstream_message(const http_request& message);
+
 [[nodiscard]] constexpr const char* name_of(exchange_outcome outcome)
 {
     switch (outcome) {
--- a/include/figreach/direct/runtime/host_context.h
+++ b/include/figreach/direct/runtime/host_context.h
@@ -9,6 +9,7 @@
 
 #include "figreach/direct/cluster_state.h"
 #include "figreach/direct/direct_settings.h"
+#include "figreach/direct/peer_health.h"
 #include "figreach/direct/runtime/change_signal.h"
 #include "figreach/direct/server_load_tracker.h"
 #include "figreach/direct/server_rate_limits.h"
@@ -49,6 +50,8 @@
     server_rate_limits rate_limits;
     std::set<backend_server_id> invalid_rate_limits; ///< servers whose last field was invalid
     connection_pool server_connections;              ///< connections for caller requests
+    connection_pool peer_connections; ///< connections for requests passed to other hosts
+    peer_health peers;
     std::map<service_id, retry_budget> retry_budgets;
     std::uint64_t random_state;
     bool store_reachable = true;
--- a/include/figreach/direct/runtime/request_runner.h
+++ b/include/figreach/direct/runtime/request_runner.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "figreach/direct/forwarding_head.h"
 #include "figreach/direct/runtime/exchange.h"
 #include "figreach/direct/runtime/host_context.h"
 #include "figreach/direct/runtime/store_feed.h"
@@ -22,6 +23,7 @@
     http_request message;
     platform::caller_head head;
     monotonic_time arrival{};
+    std::optional<forwarding_head> forwarded = std::nullopt; ///< set if an entry host passed it on
 };
 
 /// A refusal issued by this host.
@@ -42,6 +44,8 @@
     request_runner(host_context& state, store_feed& feed);
 
     boost::asio::awaitable<request_outcome> run(const caller_request& request);
+    /// The server that answered, or to which the request was sent last; empty if there is none.
+    [[nodiscard]] const backend_server_id& server() const;
     /// Called when the caller disconnects. Aborts a pending exchange only if the request is
     /// idempotent.
     void cancel();
--- a/include/figreach/direct/stored_records.h
+++ b/include/figreach/direct/stored_records.h
@@ -28,6 +28,7 @@
     std::uint64_t lifetime = 0;
     std::string peer_address;
     std::uint32_t processor_percent = 100; ///< of one core
+    failure_domain_id failure_domain;
 
     friend bool operator==(const live_host&, const live_host&) = default;
 };
--- a/src/direct/cluster_state.cpp
+++ b/src/direct/cluster_state.cpp
@@ -329,6 +329,12 @@
     return found != this->host_records.end() ? &found->second.host : nullptr;
 }
 
+bool cluster_state::is_registered(const host_id& name) const
+{
+    const auto found = this->host_records.find(name);
+    return found != this->host_records.end() && !found->second.ended_at;
+}
+
 bool cluster_state::has_leader() const
 {
     return this->leader_present;
--- a/src/direct/runtime/direct_host.cpp
+++ b/src/direct/runtime/direct_host.cpp
@@ -107,6 +107,7 @@
             this->leader.record_service_times(this->state.load_tracker.take_service_times());
         }
         this->state.forget_removed_servers(monotonic_time::clock::now());
+        this->state.peers.on_tick(monotonic_time::clock::now());
         std::erase_if(this->connections, [](const auto& one) { return one.expired(); });
         if (!this->ready && this->state.cluster.is_complete()) {
             this->ready = true;
--- a/src/direct/runtime/exchange.cpp
+++ b/src/direct/runtime/exchange.cpp
@@ -10,6 +10,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "figreach/runtime/relay.h"
+
 namespace figreach::direct {
 
 namespace asio = boost::asio;
@@ -127,4 +129,15 @@
     co_return lost("answers to other requests only");
 }
 
+http_request make_upstream_message(const http_request& message)
+{
+    auto out = message;
+    static_cast<http::fields&>(out) = end_to_end_fields(message);
+    out.version(message.version());
+    if (!out.body().empty() || message.find(http::field::content_length) != message.end()) {
+        out.content_length(out.body().size());
+    }
+    return out;
+}
+
 } // namespace figreach::direct
--- a/src/direct/runtime/host_context.cpp
+++ b/src/direct/runtime/host_context.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t max_idle_per_server = 8;
+constexpr std::size_t max_idle_per_peer = 16;
 /// Fraction of the shared retry budget that is used, because each host counts its requests
 /// separately.
 constexpr double budget_fraction = 0.6;
@@ -43,6 +44,8 @@
       load_tracker{load_tracker_settings{}},
       rate_limits{rate_limit_settings{}},
       server_connections{io_, max_idle_per_server},
+      peer_connections{io_, max_idle_per_peer},
+      peers{peer_health_settings{}},
       random_state{std::random_device{}()}
 {
 }
--- a/src/direct/runtime/host_registration.cpp
+++ b/src/direct/runtime/host_registration.cpp
@@ -59,7 +59,8 @@
     const live_host self{.name = this->state.settings.name,
                          .lifetime = this->state.lifetime,
                          .peer_address = this->state.settings.peer_address,
-                         .processor_percent = static_cast<std::uint32_t>(processor)};
+                         .processor_percent = static_cast<std::uint32_t>(processor),
+                         .failure_domain = this->state.settings.failure_domain};
     store_transaction entry;
     entry.writes.push_back(
         {.key = hosts_prefix + self.name.value, .value = encode(self), .lease = *lease_id});
--- a/src/direct/runtime/peer_server.cpp
+++ b/src/direct/runtime/peer_server.cpp
@@ -12,7 +12,10 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "figreach/direct/runtime/forwarding.h"
+#include "figreach/runtime/caller_watch.h"
 #include "figreach/runtime/connection_pool.h"
+#include "figreach/runtime/scoped_count.h"
 
 namespace figreach::direct {
 
@@ -25,7 +28,8 @@
 constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 constexpr seconds idle_timeout{10};
 constexpr milliseconds accept_retry_delay{100};
-constexpr std::uint64_t max_body_bytes = 1024 * 1024;
+/// The largest body of a request that another host passes on.
+constexpr std::uint64_t max_body_bytes = 32 * 1024 * 1024;
 
 } // namespace
 
@@ -68,14 +72,63 @@
             co_return;
         }
         stream.expires_never();
-        auto out = co_await this->handle(parser.get());
-        out.version(parser.get().version());
-        out.keep_alive(parser.get().keep_alive());
-        out.prepare_payload();
+        auto message = parser.release();
+        const auto version = message.version();
+        const bool keep = message.keep_alive();
+        std::optional<http_response> out;
+        if (auto head = take_forwarding_head(message)) {
+            out = co_await this->serve_forwarded(stream.socket(), std::move(message),
+                                                 std::move(*head));
+        }
+        else {
+            out = co_await this->handle(message);
+        }
+        if (!out) {
+            co_return;
+        }
+        out->version(version);
+        out->keep_alive(keep);
+        out->prepare_payload();
         stream.expires_after(idle_timeout);
-        const auto [write_error, sent] = co_await http::async_write(stream, out, no_throw);
-        open = !write_error && out.keep_alive();
+        const auto [write_error, sent] = co_await http::async_write(stream, *out, no_throw);
+        open = !write_error && keep;
+    }
+}
+
+/// Returns an empty optional if the host that passed the request on has closed the connection.
+asio::awaitable<std::optional<http_response>>
+peer_server::serve_forwarded(tcp::socket& socket, http_request request, forwarding_head head)
+{
+    const auto arrival = monotonic_time::clock::now();
+    caller_request forwarded{.message = std::move(request),
+                             .head = {},
+                             .arrival = arrival,
+                             .forwarded = std::move(head)};
+    forwarded.head = platform::decode_caller_head(forwarded.message);
+    const auto id = forwarded.head.request_id;
+    if (forwarded.head.malformed || id.empty()) {
+        co_return encode_forwarded_answer(host_refusal{.kind = error_kind::malformed_request}, id,
+                                          {});
+    }
+    if (this->state.stopping) {
+        co_return encode_forwarded_answer(host_refusal{.kind = error_kind::host_stopping}, id, {});
+    }
+    const scoped_count in_flight{this->state.in_flight};
+    request_runner runner{this->state, this->feed};
+    request_outcome outcome = caller_disconnected{};
+    {
+        const caller_watch watch{socket, [&runner] { runner.cancel(); }};
+        outcome = co_await runner.run(forwarded);
+    }
+    if (std::holds_alternative<caller_disconnected>(outcome)) {
+        co_return std::nullopt;
     }
+    co_return encode_forwarded_answer(std::move(outcome), id, runner.server());
+}
+
+tcp::endpoint peer_server::local_endpoint() const
+{
+    return this->listener.local_endpoint();
 }
 
 asio::awaitable<http_response> peer_server::handle(const http_request& request)
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -5,7 +5,6 @@
 
 #include "figreach/direct/admission.h"
 #include "figreach/runtime/log.h"
-#include "figreach/runtime/relay.h"
 
 namespace figreach::direct {
 
@@ -69,6 +68,11 @@
     co_return outcome;
 }
 
+const backend_server_id& request_runner::server() const
+{
+    return this->last_target.id;
+}
+
 void request_runner::cancel()
 {
     this->cancelled = true;
@@ -95,7 +99,7 @@
     if (this->service->divided_by_key && !request.head.key) {
         co_return host_refusal{.kind = error_kind::missing_key, .retry_after = {}};
     }
-    if (this->service->divided_by_key) {
+    if (this->service->divided_by_key && !request.forwarded) {
         this->feed.record_load(this->service->name, *request.head.key);
     }
     const auto limit =
@@ -103,7 +107,7 @@
     this->deadline = request.arrival + limit;
     const attempt_facts facts{.idempotent = this->route->kind == request_kind::idempotent,
                               .divided_by_key = this->service->divided_by_key,
-                              .forwarded = false,
+                              .forwarded = request.forwarded.has_value(),
                               .arrival = request.arrival,
                               .deadline = this->deadline};
     this->attempts.emplace(make_attempt_settings(), facts,
@@ -280,14 +284,8 @@
         load_tracker.on_finished(to.id, send_outcome::cancelled, {}, std::nullopt, now);
         co_return this->cancelled ? attempt_event{caller_left{}} : attempt_event{deadline_passed{}};
     }
-    const auto message = std::make_shared<http_request>(request.message);
-    static_cast<http::fields&>(*message) = end_to_end_fields(request.message);
-    message->version(request.message.version());
+    const auto message = std::make_shared<http_request>(make_upstream_message(request.message));
     platform::encode_server_head(*message, to.id, time_left);
-    if (!message->body().empty() ||
-        request.message.find(http::field::content_length) != request.message.end()) {
-        message->content_length(message->body().size());
-    }
     if (!std::holds_alternative<no_action>(this->attempts->handle(sending{}, now))) {
         load_tracker.on_finished(to.id, send_outcome::cancelled, {}, std::nullopt, now);
         co_return deadline_passed{};
@@ -418,6 +416,7 @@
     log_event(log_level::info, "request",
               {{"id", request.head.request_id},
                {"outcome", outcome_text(outcome)},
+               {"from", request.forwarded ? request.forwarded->from.value : ""},
                {"route", this->route != nullptr ? this->route->name : ""},
                {"service", this->service != nullptr ? this->service->name.value : ""},
                {"key", request.head.key ? std::to_string(*request.head.key) : ""},
--- a/src/direct/stored_records.cpp
+++ b/src/direct/stored_records.cpp
@@ -113,6 +113,7 @@
     out.set_lifetime(host.lifetime);
     out.set_peer_address(host.peer_address);
     out.set_processor_percent(host.processor_percent);
+    out.set_failure_domain(host.failure_domain.value);
     return out.SerializeAsString();
 }
 
@@ -165,7 +166,8 @@
     return live_host{.name = {in->name()},
                      .lifetime = in->lifetime(),
                      .peer_address = in->peer_address(),
-                     .processor_percent = in->processor_percent()};
+                     .processor_percent = in->processor_percent(),
+                     .failure_domain = {in->failure_domain()}};
 }
 
 } // namespace figreach::direct
--- a/test/direct/path_fixture.h
+++ b/test/direct/path_fixture.h
@@ -15,6 +15,8 @@
 #include "../property.h"
 #include "../runtime/plane_fixture.h"
 #include "figreach/direct/runtime/caller_connection.h"
+#include "figreach/direct/runtime/leadership.h"
+#include "figreach/direct/runtime/peer_server.h"
 
 namespace figreach::direct {
 
@@ -83,13 +85,29 @@
     fake_upstream upstream;
 };
 
+/// An entry host of a path_fixture.
+struct fixture_host {
+    host_id name{"h1"};
+    std::string peer_address = "127.0.0.1:0";
+};
+
 /// The request path of an entry host with a preset cluster state.
 class path_fixture {
 public:
-    explicit path_fixture(const std::string& server_address)
-        : state{this->io, settings(), this->metrics_page}, feed{this->state}
+    /// `others` are further registered hosts.
+    explicit path_fixture(const std::string& server_address, const fixture_host& own = {},
+                          const std::vector<fixture_host>& others = {})
+        : state{this->io, settings(own), this->metrics_page},
+          feed{this->state},
+          leader{this->state},
+          peers{this->state, this->leader, this->feed}
     {
         this->set_cluster_state(server_address);
+        this->register_host(own);
+        for (const auto& one : others) {
+            this->register_host(one);
+        }
+        this->peers.start();
         this->acceptor.listen();
         asio::co_spawn(this->io, this->accept(), asio::detached);
         this->io_thread = std::thread{[this] { this->io.run(); }};
@@ -105,16 +123,13 @@
     /// Returns everything the host writes until it closes the connection.
     std::string exchange(const std::string& request)
     {
-        asio::io_context own;
-        auto socket = this->call(own, request);
-        std::string out;
-        boost::system::error_code failed;
-        std::array<char, 4096> chunk{};
-        while (!failed) {
-            const auto count = socket.read_some(asio::buffer(chunk), failed);
-            out.append(chunk.data(), count);
-        }
-        return out;
+        return this->exchange(request, this->acceptor.local_endpoint());
+    }
+
+    /// As exchange(), through the address for other hosts.
+    std::string exchange_as_peer(const std::string& request)
+    {
+        return this->exchange(request, this->peers.local_endpoint());
     }
 
     /// Blocks the host until `resume` is ready, simulating a lack of CPU time.
@@ -133,10 +148,35 @@
     }
 
 private:
-    static direct_settings settings()
+    std::string exchange(const std::string& request, const tcp::endpoint& endpoint)
+    {
+        asio::io_context own;
+        tcp::socket socket{own};
+        socket.connect(endpoint);
+        asio::write(socket, asio::buffer(request));
+        std::string out;
+        boost::system::error_code failed;
+        std::array<char, 4096> chunk{};
+        while (!failed) {
+            const auto count = socket.read_some(asio::buffer(chunk), failed);
+            out.append(chunk.data(), count);
+        }
+        return out;
+    }
+
+    void register_host(const fixture_host& host)
+    {
+        const host_update update{
+            {.name = host.name, .lifetime = 1, .peer_address = host.peer_address}};
+        (void)this->state.cluster.apply(store_part::own, {update}, false,
+                                        monotonic_time::clock::now());
+    }
+
+    static direct_settings settings(const fixture_host& own)
     {
         direct_settings out;
-        out.name = {"h1"};
+        out.name = own.name;
+        out.peer_address = own.peer_address;
         out.store_address = "127.0.0.1:1";
         return out;
     }
@@ -180,9 +220,7 @@
         (void)cluster.apply(store_part::operators, {configuration_update{all}}, true, now);
         (void)cluster.apply(store_part::servers, {entry("s1", "lessons"), entry("m1", "media")},
                             true, now);
-        (void)cluster.apply(store_part::own,
-                            {key_table_update{.table = table, .revision = 1},
-                             host_update{{.name = {"h1"}, .lifetime = 1}}},
+        (void)cluster.apply(store_part::own, {key_table_update{.table = table, .revision = 1}},
                             true, now);
     }
 
@@ -200,6 +238,8 @@
     metrics metrics_page;
     host_context state;
     store_feed feed;
+    leadership leader;
+    peer_server peers;
     tcp::acceptor acceptor{this->io, {asio::ip::make_address("127.0.0.1"), 0}};
     std::thread io_thread;
 };
--- a/test/direct/stored_records_test.cpp
+++ b/test/direct/stored_records_test.cpp
@@ -45,7 +45,8 @@
     const leader_term term{
         .term = 4, .host = {"h"}, .host_lifetime = 8, .resigned = true, .hold = milliseconds{3400}};
     CHECK_TRUE(decode_leader_term(encode(term)) == term);
-    const live_host host{.name = {"h"}, .lifetime = 8, .peer_address = "127.0.0.1:1"};
+    const live_host host{
+        .name = {"h"}, .lifetime = 8, .peer_address = "127.0.0.1:1", .failure_domain = {"north"}};
     CHECK_TRUE(decode_live_host(encode(host)) == host);
 }
 
