Keep backend servers within the rate limits that they name

No host read the limit, and with 12 hosts or 1,200 none can keep it alone: a share of 6.4 requests a second is less than one request per host and second, which neither rounds nor follows demand.

A limit is learned from any answer and shared through the leader with its age. One host sends to a limited server, chosen by the same order on all hosts among those in the server's failure domain, and counts requests in a token bucket (rate, at most 1 s of it at once). The others pass requests on to it, and hold off while it says that the server takes none. Refused requests are told successive times to come back. Placement takes the limit as capacity, so that keys move to servers with room.

--- a/include/figreach/direct/follow.h
+++ b/include/figreach/direct/follow.h
@@ -34,6 +34,7 @@
     std::vector<key_load_entry> loads;
     std::vector<service_time_sample> service_times;
     std::vector<server_load> server_loads;
+    std::vector<rate_limit_report> rate_limits;
 };
 
 struct part_changes {
@@ -43,7 +44,8 @@
 
 struct follow_answer {
     std::vector<part_changes> parts;
-    std::vector<server_load> server_loads; ///< the latest reports from all hosts
+    std::vector<server_load> server_loads;      ///< the latest reports from all hosts
+    std::vector<rate_limit_report> rate_limits; ///< the latest known to any host
 };
 
 /// The leader as known to a host that is not the leader itself.
--- a/include/figreach/direct/runtime/host_context.h
+++ b/include/figreach/direct/runtime/host_context.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -33,6 +34,8 @@
     /// changes, and the first of several fields that cannot be read.
     void record_rate_limit(const backend_server_id& server, const platform::answer_head& head,
                            monotonic_time now);
+    /// Merges what another host reports about the rates that backend servers accept.
+    void merge_rate_limits(const std::vector<rate_limit_report>& reports, const host_id& from);
     /// Drops what is known about backend servers that no longer exist.
     void forget_removed_servers(monotonic_time now);
     /// This host's retry budget for requests to `service`.
--- a/include/figreach/direct/runtime/request_runner.h
+++ b/include/figreach/direct/runtime/request_runner.h
@@ -4,7 +4,9 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -18,6 +20,8 @@
 
 namespace figreach::direct {
 
+struct forwarded_answer_head;
+
 /// A completely received client request.
 struct caller_request {
     http_request message;
@@ -54,9 +58,14 @@
     struct target {
         backend_server_id id;
         std::string address;
+        failure_domain_id failure_domain;
         std::uint32_t slots = 0;
         bool cold = false;
         std::uint64_t fence = 0;
+        /// Other hosts to pass the request to, in order of preference; empty if this host sends.
+        std::vector<host_id> peers;
+        std::uint32_t hops_left = 0;    ///< how often a peer may pass it on
+        const char* forwarded_for = ""; ///< why a peer sends, for the log
     };
     struct wait_for_change {};
     using choice = std::variant<target, wait_for_change, host_refusal>;
@@ -64,15 +73,33 @@
     boost::asio::awaitable<request_outcome> serve(const caller_request& request);
     boost::asio::awaitable<attempt_event> attempt(const caller_request& request);
     boost::asio::awaitable<attempt_event> send(const caller_request& request, target to);
+    boost::asio::awaitable<attempt_event> forward(const caller_request& request, target to);
+    [[nodiscard]] attempt_event handle_forwarded_answer(exchange_result result,
+                                                        const forwarded_answer_head& head,
+                                                        const target& to);
+    [[nodiscard]] attempt_event accept_answer(http_response received);
+    /// Sends the message on a connection of the pool and gives the connection back if it can be
+    /// used again.
+    boost::asio::awaitable<exchange_result> exchange_on(connection_pool& pool,
+                                                        const std::string& address,
+                                                        std::unique_ptr<upstream_connection> taken,
+                                                        std::shared_ptr<const http_request> message,
+                                                        const std::string& request_id);
     [[nodiscard]] attempt_event handle_result(const exchange_result& result, const target& to,
                                               nanoseconds latency);
     [[nodiscard]] choice select_target(const caller_request& request);
     [[nodiscard]] choice select_owner(const caller_request& request);
-    [[nodiscard]] choice select_any_server();
-    [[nodiscard]] choice admit(target to);
+    [[nodiscard]] choice select_any_server(const caller_request& request);
+    [[nodiscard]] choice admit(const caller_request& request, target to);
+    [[nodiscard]] choice admit_limited(const caller_request& request, target to);
+    [[nodiscard]] choice admit_load(target to);
+    [[nodiscard]] std::vector<host_id> preferred_senders(const caller_request& request,
+                                                         const target& to) const;
     [[nodiscard]] std::uint32_t max_connections_per_server() const;
     [[nodiscard]] target make_target(const server_record& record) const;
     [[nodiscard]] milliseconds add_jitter(milliseconds time);
+    void log_forward(const caller_request& request, const target& to, const host_id& peer,
+                     std::string_view ending) const;
     void log_send(const caller_request& request, const target& to, const char* ending,
                   const std::string& detail) const;
     void record_outcome(const caller_request& request, const request_outcome& outcome) const;
--- a/include/figreach/error_kind.h
+++ b/include/figreach/error_kind.h
@@ -34,6 +34,7 @@
     tenant_over_limit,
     queue_full,
     server_cold,
+    server_at_limit,
     server_refused,
     server_unreachable,
     outcome_unknown,
--- a/src/direct/follow.cpp
+++ b/src/direct/follow.cpp
@@ -1,6 +1,7 @@
 #include "figreach/direct/follow.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -55,6 +56,32 @@
     return out;
 }
 
+void fill(wire::RateLimit& out, const rate_limit_report& limit)
+{
+    out.set_server(limit.server.value);
+    if (limit.rate) {
+        out.set_per_second(*limit.rate);
+    }
+    out.set_age_ms(static_cast<std::uint32_t>(limit.age.count()));
+}
+
+std::vector<rate_limit_report>
+to_rate_limits(const google::protobuf::RepeatedPtrField<wire::RateLimit>& in)
+{
+    std::vector<rate_limit_report> out;
+    for (const auto& one : in) {
+        const bool valid =
+            !one.has_per_second() || (std::isfinite(one.per_second()) && one.per_second() >= 0.0);
+        if (valid) {
+            out.push_back(
+                {.server = {one.server()},
+                 .rate = one.has_per_second() ? std::optional{one.per_second()} : std::nullopt,
+                 .age = milliseconds{one.age_ms()}});
+        }
+    }
+    return out;
+}
+
 store_change to_change(const wire::ItemChange& in)
 {
     return {.item = {.key = in.key(), .value = in.value(), .revision = in.revision()},
@@ -88,6 +115,9 @@
     for (const auto& one : request.server_loads) {
         fill(*out.add_server_loads(), one);
     }
+    for (const auto& one : request.rate_limits) {
+        fill(*out.add_rate_limits(), one);
+    }
     return out.SerializeAsString();
 }
 
@@ -110,6 +140,9 @@
     for (const auto& one : answer.server_loads) {
         fill(*out.add_server_loads(), one);
     }
+    for (const auto& one : answer.rate_limits) {
+        fill(*out.add_rate_limits(), one);
+    }
     return out.SerializeAsString();
 }
 
@@ -181,7 +214,8 @@
                        .positions = {},
                        .loads = {},
                        .service_times = {},
-                       .server_loads = to_loads(in->server_loads())};
+                       .server_loads = to_loads(in->server_loads()),
+                       .rate_limits = to_rate_limits(in->rate_limits())};
     for (const auto& one : in->positions()) {
         const auto part = part_of(one.part());
         if (!part) {
@@ -210,7 +244,9 @@
     if (!in) {
         return std::nullopt;
     }
-    follow_answer out{.parts = {}, .server_loads = to_loads(in->server_loads())};
+    follow_answer out{.parts = {},
+                      .server_loads = to_loads(in->server_loads()),
+                      .rate_limits = to_rate_limits(in->rate_limits())};
     for (const auto& one : in->parts()) {
         const auto part = part_of(one.part());
         if (!part) {
--- a/src/direct/key_plan.cpp
+++ b/src/direct/key_plan.cpp
@@ -23,7 +23,7 @@
         for (const auto& server : servers) {
             if (server.takes_keys) {
                 this->servers_by_id[server.id] = {.server = &server, .load = 0.0};
-                this->capacity += server.queue.slots / server.queue.service_time.count();
+                this->capacity += server.queue.capacity();
             }
         }
         this->min_load =
@@ -51,8 +51,7 @@
     /// Fraction of the capacity of all servers.
     [[nodiscard]] double capacity_share(const planned_server& one) const
     {
-        const auto& queue = one.server->queue;
-        return queue.slots / queue.service_time.count() / this->capacity;
+        return one.server->queue.capacity() / this->capacity;
     }
 
     [[nodiscard]] double cost(const planned_server& one, double more = 0.0) const
--- a/src/direct/runtime/host_context.cpp
+++ b/src/direct/runtime/host_context.cpp
@@ -23,6 +23,17 @@
     return rate ? std::to_string(*rate) : "none";
 }
 
+void log_rate_limit(const rate_limit_report& report, std::optional<double> former,
+                    const std::string& source)
+{
+    log_event(log_level::info, "server_limit",
+              {{"server", report.server.value},
+               {"per_second", rate_text(report.rate)},
+               {"former", rate_text(former)},
+               {"source", source},
+               {"age_ms", std::to_string(report.age.count())}});
+}
+
 std::uint64_t start_time_ms()
 {
     const auto since = calendar_time::clock::now().time_since_epoch();
@@ -81,11 +92,19 @@
     this->invalid_rate_limits.erase(server);
     const auto former = this->rate_limits.rate_of(server);
     if (this->rate_limits.on_answer(server, head.rate_limit, now)) {
-        log_event(log_level::info, "server_limit",
-                  {{"server", server.value},
-                   {"per_second", rate_text(head.rate_limit)},
-                   {"former", rate_text(former)},
-                   {"source", "answer"}});
+        log_rate_limit({.server = server, .rate = head.rate_limit, .age = {}}, former, "answer");
+    }
+}
+
+void host_context::merge_rate_limits(const std::vector<rate_limit_report>& reports,
+                                     const host_id& from)
+{
+    const auto now = monotonic_time::clock::now();
+    for (const auto& one : reports) {
+        const auto former = this->rate_limits.rate_of(one.server);
+        if (this->rate_limits.merge(one, now)) {
+            log_rate_limit(one, former, from.value);
+        }
     }
 }
 
--- a/src/direct/runtime/leadership.cpp
+++ b/src/direct/runtime/leadership.cpp
@@ -436,14 +436,14 @@
     std::vector<key_server> out;
     for (const auto& [id, record] : this->state.cluster.servers().all()) {
         if (record.entry.service == service) {
-            out.push_back(
-                {.id = id,
-                 .lifetime = record.entry.lifetime,
-                 .address = record.entry.address,
-                 .queue = {.service_time = service_times.service_time_of(id),
-                           .slots = static_cast<double>(std::max(record.entry.slots, 1U))},
-                 .takes_keys = this->state.cluster.takes_new_work(record),
-                 .ended = record.address_reused});
+            out.push_back({.id = id,
+                           .lifetime = record.entry.lifetime,
+                           .address = record.entry.address,
+                           .queue = {.service_time = service_times.service_time_of(id),
+                                     .slots = static_cast<double>(std::max(record.entry.slots, 1U)),
+                                     .max_rate = this->state.rate_limits.rate_of(id)},
+                           .takes_keys = this->state.cluster.takes_new_work(record),
+                           .ended = record.address_reused});
         }
     }
     return out;
--- a/src/direct/runtime/peer_server.cpp
+++ b/src/direct/runtime/peer_server.cpp
@@ -160,10 +160,13 @@
     for (const auto& load : follow->server_loads) {
         this->state.load_tracker.merge(load, monotonic_time::clock::now());
     }
+    this->state.merge_rate_limits(follow->rate_limits, follow->host);
     auto update = co_await this->feed.answer(*follow);
     out.result(update ? http::status::ok : http::status::service_unavailable);
     if (update) {
-        update->server_loads = this->state.load_tracker.reports(monotonic_time::clock::now());
+        const auto now = monotonic_time::clock::now();
+        update->server_loads = this->state.load_tracker.reports(now);
+        update->rate_limits = this->state.rate_limits.reports(now);
         out.body() = encode(*update);
     }
     co_return out;
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "figreach/direct/admission.h"
+#include "figreach/direct/peer_choice.h"
+#include "figreach/direct/runtime/forwarding.h"
 #include "figreach/runtime/log.h"
 
 namespace figreach::direct {
@@ -19,6 +21,9 @@
 constexpr milliseconds no_owner_retry_delay{400};
 constexpr milliseconds refused_retry_delay{250};
 constexpr milliseconds connect_timeout{400};
+/// A host answers a connection attempt at once unless it is down or partitioned.
+constexpr milliseconds peer_connect_timeout{200};
+constexpr std::size_t max_forward_tries = 2;
 constexpr milliseconds min_time_left{5}; ///< a request with less time left is not sent
 /// A leaving owner still receives requests for its keys during this percentage of the leaving
 /// limit.
@@ -161,18 +166,24 @@
     if (const auto* refusal = std::get_if<host_refusal>(&chosen)) {
         co_return rejected_locally{.kind = refusal->kind, .retry_after = refusal->retry_after};
     }
-    co_return co_await this->send(request, std::get<target>(chosen));
+    auto to = std::get<target>(chosen);
+    if (!to.peers.empty()) {
+        co_return co_await this->forward(request, std::move(to));
+    }
+    co_return co_await this->send(request, std::move(to));
 }
 
 request_runner::choice request_runner::select_target(const caller_request& request)
 {
-    return this->service->divided_by_key ? this->select_owner(request) : this->select_any_server();
+    return this->service->divided_by_key ? this->select_owner(request)
+                                         : this->select_any_server(request);
 }
 
 request_runner::target request_runner::make_target(const server_record& record) const
 {
     return {.id = record.entry.id,
             .address = record.entry.address,
+            .failure_domain = record.entry.failure_domain,
             .slots = record.entry.slots,
             .cold = monotonic_time::clock::now() < record.cold_until};
 }
@@ -199,11 +210,16 @@
     }
     auto out = this->make_target(*record);
     out.fence = range.fence;
-    return this->admit(std::move(out));
+    auto admitted = this->admit(request, std::move(out));
+    auto* refusal = std::get_if<host_refusal>(&admitted);
+    if (refusal != nullptr && refusal->kind == error_kind::server_at_limit) {
+        refusal->retry_after = this->state.rate_limits.next_return(range.owner, now);
+    }
+    return admitted;
 }
 
 /// Picks the cheaper of two random servers that accept new work (power of two choices).
-request_runner::choice request_runner::select_any_server()
+request_runner::choice request_runner::select_any_server(const caller_request& request)
 {
     const auto now = monotonic_time::clock::now();
     std::vector<target> candidates;
@@ -211,10 +227,13 @@
     host_refusal refusal{.kind = error_kind::no_owner, .retry_after = no_owner_retry_delay};
     for (const auto* record : this->state.cluster.servers_for_new_work(this->service->name)) {
         const auto& id = record->entry.id;
-        if (!this->state.load_tracker.is_reachable(id, now) || this->tried_servers.contains(id)) {
+        const bool is_other = request.forwarded && !request.forwarded->server.empty() &&
+                              request.forwarded->server != id;
+        if (is_other || !this->state.load_tracker.is_reachable(id, now) ||
+            this->tried_servers.contains(id)) {
             continue;
         }
-        auto admitted = this->admit(this->make_target(*record));
+        auto admitted = this->admit(request, this->make_target(*record));
         if (const auto* refused = std::get_if<host_refusal>(&admitted)) {
             refusal = *refused;
             continue;
@@ -238,9 +257,53 @@
     return static_cast<std::uint32_t>(std::max<std::uint64_t>(shared / hosts, 1));
 }
 
+/// The hosts that send to a server that limits its rate, up to this one. Empty if this host sends.
+std::vector<host_id> request_runner::preferred_senders(const caller_request& request,
+                                                       const target& to) const
+{
+    std::vector<host_id> out;
+    if (request.forwarded && request.forwarded->hops_left == 0) {
+        return out;
+    }
+    const auto now = monotonic_time::clock::now();
+    for (auto& name : order_peers(to.id.value, to.failure_domain, this->state.cluster)) {
+        if (name == this->state.settings.name || out.size() == max_forward_tries) {
+            return out;
+        }
+        if (this->state.peers.is_usable(name, now)) {
+            out.push_back(std::move(name));
+        }
+    }
+    return out;
+}
+
+request_runner::choice request_runner::admit(const caller_request& request, target to)
+{
+    if (this->state.rate_limits.rate_of(to.id)) {
+        return this->admit_limited(request, std::move(to));
+    }
+    return this->admit_load(std::move(to));
+}
+
+/// Lets one host send all requests to a server that limits its rate, so that the limit is kept
+/// without dividing it.
+request_runner::choice request_runner::admit_limited(const caller_request& request, target to)
+{
+    const auto now = monotonic_time::clock::now();
+    const auto& limits = this->state.rate_limits;
+    to.peers = this->preferred_senders(request, to);
+    to.forwarded_for = "rate_limit";
+    const auto delay =
+        to.peers.empty() ? limits.delay(to.id, now) : limits.held_off_for(to.id, now);
+    if (delay > milliseconds{0}) {
+        return host_refusal{.kind = error_kind::server_at_limit, .retry_after = delay};
+    }
+    return to.peers.empty() ? this->admit_load(std::move(to)) : to;
+}
+
 /// Refuses a request that the server cannot finish in time, that exceeds this host's share of
 /// connections, or that exceeds the rate limit of a cold server.
-request_runner::choice request_runner::admit(target to)
+request_runner::choice request_runner::admit_load(target to)
 {
     const auto now = monotonic_time::clock::now();
     const auto& load_tracker = this->state.load_tracker;
@@ -270,6 +333,7 @@
     auto& load_tracker = this->state.load_tracker;
     this->last_target = to;
     load_tracker.on_sent(to.id, to.cold, monotonic_time::clock::now());
+    this->state.rate_limits.on_sent(to.id, monotonic_time::clock::now());
     const auto connect_until =
         std::min(this->deadline, monotonic_time::clock::now() + connect_timeout);
     auto connection = co_await this->state.server_connections.try_take(to.address, connect_until);
@@ -291,24 +355,148 @@
         co_return deadline_passed{};
     }
     this->tried_servers.insert(to.id);
-    this->upstream = std::move(connection);
     const auto result =
-        co_await exchange(this->upstream, message, request.head.request_id, this->deadline);
+        co_await this->exchange_on(this->state.server_connections, to.address,
+                                   std::move(connection), message, request.head.request_id);
     const auto latency = monotonic_time::clock::now() - now;
+    if (result.outcome != exchange_outcome::answered || is_server_error(result.answer)) {
+        const bool answered = result.answer.result() != http::status::unknown;
+        this->log_send(request, to, name_of(result.outcome),
+                       answered ? std::to_string(result.answer.result_int()) : result.detail);
+    }
+    co_return this->handle_result(result, to, latency);
+}
+
+asio::awaitable<exchange_result> request_runner::exchange_on(
+    connection_pool& pool, const std::string& address, std::unique_ptr<upstream_connection> taken,
+    std::shared_ptr<const http_request> message, const std::string& request_id)
+{
+    this->upstream = std::move(taken);
+    auto result = co_await exchange(this->upstream, std::move(message), request_id, this->deadline);
     if (this->upstream->stream.socket().is_open()) {
         this->upstream->idle_until =
             monotonic_time::clock::now() +
             std::max(result.head.idle_time.value_or(seconds{3}) - seconds{1}, milliseconds{0});
-        this->state.server_connections.give_back(
-            to.address, std::make_unique<upstream_connection>(std::move(*this->upstream)));
+        pool.give_back(address, std::make_unique<upstream_connection>(std::move(*this->upstream)));
     }
     this->upstream.reset();
-    if (result.outcome != exchange_outcome::answered || is_server_error(result.answer)) {
-        const bool answered = result.answer.result() != http::status::unknown;
-        this->log_send(request, to, name_of(result.outcome),
-                       answered ? std::to_string(result.answer.result_int()) : result.detail);
+    co_return result;
+}
+
+/// Passes the request to the first of the peers that takes it. Another peer is tried only if it is
+/// certain that the request did not run.
+asio::awaitable<attempt_event> request_runner::forward(const caller_request& request, target to)
+{
+    this->last_target = to;
+    bool passed_on = false;
+    for (const auto& name : to.peers) {
+        const auto* host = this->state.cluster.find_host(name);
+        if (host == nullptr) {
+            continue;
+        }
+        const auto address = host->peer_address;
+        const auto connect_until =
+            std::min(this->deadline, monotonic_time::clock::now() + peer_connect_timeout);
+        auto connection = co_await this->state.peer_connections.try_take(address, connect_until);
+        const auto now = monotonic_time::clock::now();
+        if (!connection) {
+            this->state.peers.on_failed(name, now);
+            this->log_forward(request, to, name, "no_connection");
+            continue;
+        }
+        const auto time_left = std::chrono::floor<milliseconds>(this->deadline - now);
+        if (this->cancelled || time_left < min_time_left) {
+            co_return this->cancelled ? attempt_event{caller_left{}}
+                                      : attempt_event{deadline_passed{}};
+        }
+        if (!passed_on &&
+            !std::holds_alternative<no_action>(this->attempts->handle(sending{}, now))) {
+            co_return deadline_passed{};
+        }
+        passed_on = true;
+        // An owner is selected again by the peer, which may know a newer one.
+        const forwarding_head head{.from = this->state.settings.name,
+                                   .hops_left = to.hops_left,
+                                   .server =
+                                       this->service->divided_by_key ? backend_server_id{} : to.id};
+        const auto message =
+            std::make_shared<http_request>(encode_forwarded(request, head, time_left));
+        this->state.peers.on_sent(name, now);
+        auto result =
+            co_await this->exchange_on(this->state.peer_connections, address, std::move(connection),
+                                       message, request.head.request_id);
+        const auto ended_at = monotonic_time::clock::now();
+        const bool answered = result.outcome == exchange_outcome::answered ||
+                              result.outcome == exchange_outcome::not_run;
+        this->state.peers.on_finished(name, answered, ended_at);
+        if (result.outcome == exchange_outcome::lost) {
+            this->state.peers.on_failed(name, ended_at);
+        }
+        const auto answer_head = take_forwarded_answer_head(result.answer);
+        this->log_forward(request, to, name,
+                          answer_head.refusal ? name_of(answer_head.refusal->kind)
+                                              : name_of(result.outcome));
+        if (answer_head.refusal && answer_head.refusal->kind == error_kind::host_stopping) {
+            this->state.peers.on_failed(name, ended_at);
+            continue;
+        }
+        co_return this->handle_forwarded_answer(std::move(result), answer_head, to);
     }
-    co_return this->handle_result(result, to, latency);
+    if (passed_on) {
+        co_return refused_not_run{.kind = error_kind::host_stopping,
+                                  .retry_after = refused_retry_delay};
+    }
+    co_return rejected_locally{.kind = error_kind::no_owner, .retry_after = refused_retry_delay};
+}
+
+/// Maps the answer of a peer to an attempt event.
+attempt_event request_runner::handle_forwarded_answer(exchange_result result,
+                                                      const forwarded_answer_head& head,
+                                                      const target& to)
+{
+    const auto now = monotonic_time::clock::now();
+    if (head.refusal) {
+        const auto kind = head.refusal->kind;
+        if (kind == error_kind::server_at_limit) {
+            this->state.rate_limits.hold_off(to.id, head.refusal->retry_after, now);
+        }
+        if (answer_of(kind).ran == run_state::not_run) {
+            return refused_not_run{.kind = kind, .retry_after = head.refusal->retry_after};
+        }
+        return kind == error_kind::deadline_exceeded ? attempt_event{deadline_passed{}}
+                                                     : attempt_event{lost_after_send{}};
+    }
+    switch (result.outcome) {
+    case exchange_outcome::answered:
+        if (!head.server.empty()) {
+            this->state.record_rate_limit(head.server, result.head, now);
+            this->tried_servers.insert(head.server);
+        }
+        return this->accept_answer(std::move(result.answer));
+    case exchange_outcome::not_run:
+        return refused_not_run{.kind = error_kind::server_refused,
+                               .retry_after = refused_retry_delay};
+    case exchange_outcome::lost:
+        return lost_after_send{};
+    case exchange_outcome::late:
+        return deadline_passed{};
+    case exchange_outcome::cancelled:
+        return caller_left{};
+    }
+    return lost_after_send{};
+}
+
+/// Keeps the answer for the caller unless another attempt may succeed.
+attempt_event request_runner::accept_answer(http_response received)
+{
+    if (is_server_error(received)) {
+        this->server_error = received;
+        if (this->route->kind == request_kind::idempotent) {
+            return lost_after_send{};
+        }
+    }
+    this->answer = std::move(received);
+    return answer_ended{};
 }
 
 /// Updates the tracked load of the server and maps the exchange result to an attempt event.
@@ -325,18 +513,8 @@
     }
     switch (result.outcome) {
     case exchange_outcome::answered:
-        if (is_server_error(result.answer)) {
-            record(send_outcome::failed);
-            this->server_error = result.answer;
-            if (this->route->kind == request_kind::idempotent) {
-                return lost_after_send{};
-            }
-        }
-        else {
-            record(send_outcome::answered);
-        }
-        this->answer = result.answer;
-        return answer_ended{};
+        record(is_server_error(result.answer) ? send_outcome::failed : send_outcome::answered);
+        return this->accept_answer(result.answer);
     case exchange_outcome::not_run: {
         record(send_outcome::shed);
         const bool other_server =
@@ -369,6 +547,17 @@
     return time + milliseconds{static_cast<std::int64_t>(more)};
 }
 
+void request_runner::log_forward(const caller_request& request, const target& to,
+                                 const host_id& peer, std::string_view ending) const
+{
+    log_event(log_level::info, "forward",
+              {{"id", request.head.request_id},
+               {"peer", peer.value},
+               {"server", to.id.value},
+               {"reason", to.forwarded_for},
+               {"ending", std::string{ending}}});
+}
+
 /// Logs an attempt that failed or returned a server error.
 void request_runner::log_send(const caller_request& request, const target& to, const char* ending,
                               const std::string& detail) const
--- a/src/direct/runtime/store_feed.cpp
+++ b/src/direct/runtime/store_feed.cpp
@@ -350,12 +350,14 @@
     if (!known) {
         co_return false;
     }
+    const auto now = monotonic_time::clock::now();
     const follow_request poll_request{
         .host = this->state.settings.name,
         .positions = *known,
         .loads = this->take_loads(),
         .service_times = this->state.load_tracker.take_service_times(),
-        .server_loads = this->state.load_tracker.take_own_reports(monotonic_time::clock::now())};
+        .server_loads = this->state.load_tracker.take_own_reports(now),
+        .rate_limits = this->state.rate_limits.take_own_reports(now)};
     auto request = make_request(http::verb::post, "/follow", encode(poll_request));
     const auto timeout = this->follower_wait() + follow_response_margin;
     const auto result = co_await this->peers.call(leader.peer_address, std::move(request),
@@ -382,6 +384,7 @@
     for (const auto& load : decoded->server_loads) {
         this->state.load_tracker.merge(load, monotonic_time::clock::now());
     }
+    this->state.merge_rate_limits(decoded->rate_limits, leader.host);
     this->followed = std::move(leader);
     this->followed_until = monotonic_time::clock::now() + timeout + follow_overlap;
     co_return true;
--- a/src/direct/server_queue.cpp
+++ b/src/direct/server_queue.cpp
@@ -9,6 +9,8 @@
 
 /// Above this utilization the cost grows linearly, so that overloaded servers remain comparable.
 constexpr double linear_above_utilization = 0.9;
+/// Requests per second. Keeps the cost of a server that accepts no requests finite.
+constexpr double min_capacity = 0.1;
 
 /// Mean waiting time in a queue with several slots, relative to the service time, and its
 /// derivative by Sakasegawa's approximation.
@@ -30,9 +32,15 @@
 
 } // namespace
 
+double server_queue::capacity() const
+{
+    const double by_slots = this->slots / this->service_time.count();
+    return this->max_rate ? std::min(by_slots, std::max(*this->max_rate, min_capacity)) : by_slots;
+}
+
 double server_queue::utilization(double rate) const
 {
-    return rate * this->service_time.count() / this->slots;
+    return rate / this->capacity();
 }
 
 double server_queue::marginal_cost(double rate) const
--- a/test/direct/follow_test.cpp
+++ b/test/direct/follow_test.cpp
@@ -1,5 +1,7 @@
 #include "figreach/direct/follow.h"
 
+#include <limits>
+
 #include "../property.h"
 
 using namespace figreach;
@@ -113,6 +115,21 @@
     CHECK_EQUAL(7, decoded->parts[0].changes.revision);
 }
 
+TEST(follow_test, reads_rate_limits_that_it_wrote_and_ignores_invalid_ones)
+{
+    const std::vector<rate_limit_report> valid{
+        {.server = {"a"}, .rate = 6.4, .age = milliseconds{300}},
+        {.server = {"b"}, .rate = {}, .age = milliseconds{0}}};
+    auto sent = valid;
+    sent.push_back({.server = {"c"}, .rate = -1.0, .age = {}});
+    sent.push_back({.server = {"d"}, .rate = std::numeric_limits<double>::quiet_NaN(), .age = {}});
+    sent.push_back({.server = {"e"}, .rate = std::numeric_limits<double>::infinity(), .age = {}});
+    const follow_request request{.host = {"h"}, .rate_limits = sent};
+    CHECK_TRUE(decode_follow_request(encode(request))->rate_limits == valid);
+    const follow_answer answer{.rate_limits = sent};
+    CHECK_TRUE(decode_follow_answer(encode(answer))->rate_limits == valid);
+}
+
 TEST(follow_test, reads_hints_and_offers_that_it_wrote)
 {
     const leader_hint hint{.term = 4, .host = {"h"}, .peer_address = "127.0.0.1:1"};
--- a/test/direct/server_queue_test.cpp
+++ b/test/direct/server_queue_test.cpp
@@ -33,3 +33,15 @@
     CHECK_TRUE(queue.marginal_cost(20.0) < slow.marginal_cost(0.0));
     CHECK_TRUE(queue.marginal_cost(34.0) > slow.marginal_cost(0.0));
 }
+
+TEST(server_queue_test, a_limited_server_is_full_at_its_limit)
+{
+    const server_queue limited{
+        .service_time = queue.service_time, .slots = queue.slots, .max_rate = 5.0};
+    DOUBLES_EQUAL(5.0, limited.capacity(), 0.0001);
+    DOUBLES_EQUAL(1.0, limited.utilization(5.0), 0.0001);
+    CHECK_TRUE(limited.marginal_cost(5.0) > queue.marginal_cost(30.0));
+    const server_queue high{
+        .service_time = queue.service_time, .slots = queue.slots, .max_rate = 500.0};
+    DOUBLES_EQUAL(queue.marginal_cost(30.0), high.marginal_cost(30.0), 0.0001);
+}
--- a/test/direct/server_rate_limits_test.cpp
+++ b/test/direct/server_rate_limits_test.cpp
@@ -112,3 +112,63 @@
     CHECK_EQUAL(1, left.size());
     STRCMP_EQUAL("a", left.front().server.value.c_str());
 }
+
+TEST(server_rate_limits_test, spreads_requests_at_the_rate_of_the_server)
+{
+    struct rate_row {
+        double rate;
+        std::uint32_t sent_in_4_s; ///< at most, after a second without requests
+    };
+    for (const auto& row : {rate_row{0.0, 2}, {0.5, 3}, {2.0, 10}, {6.4, 32}, {100.0, 500}}) {
+        server_rate_limits limits{{}};
+        limits.on_answer(server, row.rate, start);
+        auto now = start + seconds{1};
+        std::uint32_t sent = 0;
+        while (now < start + seconds{5}) {
+            if (limits.delay(server, now) == milliseconds{0}) {
+                limits.on_sent(server, now);
+                ++sent;
+            }
+            now += milliseconds{1};
+        }
+        CHECK_TRUE(sent <= row.sent_in_4_s);
+        CHECK_TRUE(sent >= row.rate * 4);
+    }
+}
+
+TEST(server_rate_limits_test, delays_the_first_request_after_a_burst)
+{
+    server_rate_limits limits{{}};
+    limits.on_answer(server, 4.0, start);
+    CHECK_EQUAL(0, limits.delay(server, start).count());
+    limits.on_sent(server, start);
+    CHECK_EQUAL(250, limits.delay(server, start).count());
+    CHECK_EQUAL(0, limits.delay(server, start + milliseconds{250}).count());
+    limits.on_answer(server, {}, start);
+    CHECK_EQUAL(0, limits.delay(server, start).count());
+}
+
+TEST(server_rate_limits_test, tells_refused_requests_different_times)
+{
+    server_rate_limits limits{{}};
+    limits.on_answer(server, 5.0, start);
+    limits.on_sent(server, start);
+    milliseconds last{0};
+    for (int i = 0; i < 5; ++i) {
+        const auto next = limits.next_return(server, start);
+        CHECK_TRUE(next > last && next <= seconds{1});
+        last = next;
+    }
+    CHECK_TRUE(limits.next_return(server, start) <= seconds{1});
+}
+
+TEST(server_rate_limits_test, holds_off_no_longer_than_until_the_next_request)
+{
+    server_rate_limits limits{{}};
+    limits.on_answer(server, 5.0, start);
+    limits.hold_off(server, milliseconds{900}, start);
+    CHECK_EQUAL(200, limits.held_off_for(server, start).count());
+    CHECK_EQUAL(0, limits.held_off_for(server, start + milliseconds{200}).count());
+    limits.hold_off(server, milliseconds{50}, start);
+    CHECK_EQUAL(50, limits.held_off_for(server, start).count());
+}
