Log when a host loses its path to all backend servers

A host that reaches no server refused requests as no_owner, like a key without an owner, and a leader without servers looked like one whose servers were busy. server_path tells the loss of the whole path from the loss of single servers: connections to three servers (or all) fail while nothing has come from any server for 400 ms. Time in which the host itself stood still does not count. While servers are silent, connections to a few of them are probed. Changes are logged (server_path) and shown as a gauge. Nothing decides by it yet.

--- a/include/figreach/direct/cluster_state.h
+++ b/include/figreach/direct/cluster_state.h
@@ -135,6 +135,8 @@
     /// entries mean that servers have left rather than that their entries lapsed.
     [[nodiscard]] std::vector<const server_record*>
     servers_for_new_work(const service_id& service) const;
+    /// Servers of all services that take new work.
+    [[nodiscard]] std::vector<const server_record*> servers_for_new_work() const;
 
 private:
     struct host_record {
--- a/include/figreach/direct/runtime/direct_host.h
+++ b/include/figreach/direct/runtime/direct_host.h
@@ -12,6 +12,7 @@
 #include "figreach/direct/runtime/host_context.h"
 #include "figreach/direct/runtime/host_registration.h"
 #include "figreach/direct/runtime/leadership.h"
+#include "figreach/direct/runtime/path_prober.h"
 #include "figreach/direct/runtime/peer_server.h"
 #include "figreach/direct/runtime/store_feed.h"
 #include "figreach/runtime/admin_server.h"
@@ -53,6 +54,7 @@
     host_registration registration;
     store_feed feed;
     peer_server peers;
+    path_prober prober;
     boost::asio::ip::tcp::acceptor caller_acceptor;
     boost::asio::signal_set signals;
     std::set<std::weak_ptr<caller_connection>, std::owner_less<>> connections;
--- a/include/figreach/direct/runtime/host_context.h
+++ b/include/figreach/direct/runtime/host_context.h
@@ -13,6 +13,7 @@
 #include "figreach/direct/peer_health.h"
 #include "figreach/direct/runtime/change_signal.h"
 #include "figreach/direct/server_load_tracker.h"
+#include "figreach/direct/server_path.h"
 #include "figreach/direct/server_rate_limits.h"
 #include "figreach/retry_budget.h"
 #include "figreach/runtime/connection_pool.h"
@@ -30,6 +31,10 @@
     /// Records whether the store answered a call made at `called_at`. Logs when the store becomes
     /// unreachable or reachable again.
     void record_store_call(bool answered, monotonic_time called_at);
+    /// Records a new connection to a backend server or an answer from one.
+    void record_server_reached();
+    /// Records that no connection to a backend server could be made.
+    void record_server_unreachable(const backend_server_id& server);
     /// Records what an answer of a backend server says about the rate that it accepts. Logs
     /// changes, and the first of several fields that cannot be read.
     void record_rate_limit(const backend_server_id& server, const platform::answer_head& head,
@@ -41,6 +46,9 @@
     /// This host's retry budget for requests to `service`.
     [[nodiscard]] retry_budget& retry_budget_for(const service_id& service);
 
+    /// Logs that the path to all backend servers was lost or regained.
+    void log_server_path(const char* change, monotonic_time::duration silence) const;
+
     boost::asio::io_context& io;
     direct_settings settings;
     metrics& metrics_page;
@@ -50,6 +58,7 @@
     cluster_state cluster;
     change_signal cluster_changed; ///< notified when `cluster` changes
     server_load_tracker load_tracker;
+    server_path path;
     server_rate_limits rate_limits;
     std::set<backend_server_id> invalid_rate_limits; ///< servers whose last field was invalid
     connection_pool server_connections;              ///< connections for caller requests
--- a/src/direct/cluster_state.cpp
+++ b/src/direct/cluster_state.cpp
@@ -356,6 +356,17 @@
     return !record.leaving_since && !this->is_out(record.entry.failure_domain);
 }
 
+std::vector<const server_record*> cluster_state::servers_for_new_work() const
+{
+    std::vector<const server_record*> out;
+    for (const auto& [id, record] : this->directory.all()) {
+        if (this->takes_new_work(record)) {
+            out.push_back(&record);
+        }
+    }
+    return out;
+}
+
 std::vector<const server_record*>
 cluster_state::servers_for_new_work(const service_id& service) const
 {
--- a/src/direct/runtime/direct_host.cpp
+++ b/src/direct/runtime/direct_host.cpp
@@ -38,6 +38,7 @@
       registration{this->state},
       feed{this->state},
       peers{this->state, this->leader, this->feed},
+      prober{this->state},
       caller_acceptor{this->io, to_endpoint(settings.caller_address)},
       signals{this->io, SIGTERM, SIGINT, SIGHUP},
       admin{settings.admin_address, this->metrics_page, [this] { return this->ready.load(); }}
@@ -53,6 +54,7 @@
     this->registration.start();
     this->leader.start();
     this->peers.start();
+    this->prober.start();
     asio::co_spawn(this->io, this->accept(), asio::detached);
     asio::co_spawn(this->io, this->watch_signals(), asio::detached);
     asio::co_spawn(this->io, this->watch_cluster(), asio::detached);
@@ -189,6 +191,8 @@
         [this] { return std::uint64_t{this->state.in_flight}; });
     add("servers_with_rate_limit", "Backend servers that name a limit of requests per second.",
         metric_type::gauge, [this] { return std::uint64_t{this->state.rate_limits.count()}; });
+    add("server_path_lost", "Whether the host reaches no backend server.", metric_type::gauge,
+        [this] { return std::uint64_t{this->state.path.is_lost() ? 1U : 0U}; });
     add("ready", "Whether the host takes new connections.", metric_type::gauge,
         [this] { return std::uint64_t{this->ready ? 1U : 0U}; });
 }
--- a/src/direct/runtime/host_context.cpp
+++ b/src/direct/runtime/host_context.cpp
@@ -53,6 +53,7 @@
       cluster{directory_settings{.min_outage = absence_reports * settings_.report_interval}},
       cluster_changed{io_},
       load_tracker{load_tracker_settings{}},
+      path{server_path_settings{}, monotonic_time::clock::now()},
       rate_limits{rate_limit_settings{}},
       server_connections{io_, max_idle_per_server},
       peer_connections{io_, max_idle_per_peer},
@@ -79,6 +80,33 @@
     this->cluster_changed.notify();
 }
 
+void host_context::record_server_reached()
+{
+    const auto now = monotonic_time::clock::now();
+    const auto since = this->path.last_reached();
+    if (this->path.on_reached(now)) {
+        this->log_server_path("regained", now - since);
+    }
+}
+
+void host_context::record_server_unreachable(const backend_server_id& server)
+{
+    const auto now = monotonic_time::clock::now();
+    const auto known = this->cluster.servers_for_new_work().size();
+    if (this->path.on_failed(server, known, now)) {
+        this->log_server_path("lost", now - this->path.last_reached());
+    }
+}
+
+void host_context::log_server_path(const char* change, monotonic_time::duration silence) const
+{
+    const auto time = std::chrono::duration_cast<milliseconds>(silence);
+    log_event(log_level::warn, "server_path",
+              {{"change", change},
+               {"silent_ms", std::to_string(time.count())},
+               {"failed_servers", std::to_string(this->path.failed_servers())}});
+}
+
 void host_context::record_rate_limit(const backend_server_id& server,
                                      const platform::answer_head& head, monotonic_time now)
 {
--- a/src/direct/runtime/leadership.cpp
+++ b/src/direct/runtime/leadership.cpp
@@ -469,11 +469,19 @@
 {
     const bool is_grant = std::holds_alternative<grant_keys>(action.order);
     ++own->pending_calls;
+    this->state.path.on_sent();
     this->state.pending_grants += is_grant ? 1 : 0;
     const auto result = co_await this->order_client.call(
         action.address, platform::encode_order(action.order, action.server), deadline);
     --own->pending_calls;
+    this->state.path.on_finished();
     this->state.pending_grants -= is_grant ? 1 : 0;
+    if (std::holds_alternative<http_response>(result)) {
+        this->state.record_server_reached();
+    }
+    else if (std::get<call_failure>(result) == call_failure::not_sent) {
+        this->state.record_server_unreachable(action.server);
+    }
     const auto answer = platform::decode_order_answer(result);
     const bool is_release = std::holds_alternative<release_keys>(action.order);
     if (is_release || answer.outcome != order_outcome::done) {
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -338,8 +338,12 @@
         std::min(this->deadline, monotonic_time::clock::now() + connect_timeout);
     auto connection = co_await this->state.server_connections.try_take(to.address, connect_until);
     const auto now = monotonic_time::clock::now();
+    if (connection && !connection->reused) {
+        this->state.record_server_reached();
+    }
     if (!connection) {
         load_tracker.on_finished(to.id, send_outcome::unreachable, {}, std::nullopt, now);
+        this->state.record_server_unreachable(to.id);
         this->log_send(request, to, "unreachable", "");
         co_return not_sent{.kind = error_kind::server_unreachable};
     }
@@ -355,9 +359,11 @@
         co_return deadline_passed{};
     }
     this->tried_servers.insert(to.id);
+    this->state.path.on_sent();
     const auto result =
         co_await this->exchange_on(this->state.server_connections, to.address,
                                    std::move(connection), message, request.head.request_id);
+    this->state.path.on_finished();
     const auto latency = monotonic_time::clock::now() - now;
     if (result.outcome != exchange_outcome::answered || is_server_error(result.answer)) {
         const bool answered = result.answer.result() != http::status::unknown;
@@ -509,6 +515,7 @@
     };
     if (result.outcome == exchange_outcome::answered ||
         result.outcome == exchange_outcome::not_run) {
+        this->state.record_server_reached();
         this->state.record_rate_limit(to.id, result.head, now);
     }
     switch (result.outcome) {
