A host that alone reaches no backend server does not lead

The leader was among those cut off from the servers. It kept its term, since only the store is asked whether it may lead; its grants reached nobody and all keys lapsed after 2.2 s.

A leader that has lost its path to all servers while reports of other hosts show later answers gives its term up as if it were stopped, and neither campaigns nor accepts a term meanwhile. If no host reaches a server, it stays.

leadership_test: before, such a host accepted a term; now it does not.

--- a/include/figreach/direct/runtime/host_context.h
+++ b/include/figreach/direct/runtime/host_context.h
@@ -35,6 +35,8 @@
     void record_server_reached();
     /// Records that no connection to a backend server could be made.
     void record_server_unreachable(const backend_server_id& server);
+    /// Whether this host has lost its path to all backend servers while other hosts reach some.
+    [[nodiscard]] bool is_cut_off() const;
     /// Records what an answer of a backend server says about the rate that it accepts. Logs
     /// changes, and the first of several fields that cannot be read.
     void record_rate_limit(const backend_server_id& server, const platform::answer_head& head,
--- a/include/figreach/direct/runtime/leadership.h
+++ b/include/figreach/direct/runtime/leadership.h
@@ -19,7 +19,7 @@
 
 /// Campaigns for leadership and assigns keys to servers while this host leads. A lease in the store
 /// elects the leader; every write of a key table is conditional on the leader's term being
-/// current.
+/// current. A host that reaches no backend server while others do does not lead.
 class leadership {
 public:
     /// `state` must outlive this object.
@@ -88,6 +88,7 @@
     boost::asio::awaitable<void> write_key_table(std::shared_ptr<term_state> own,
                                                  service_id service, key_table table);
     boost::asio::awaitable<void> wait_for_pending_grants();
+    boost::asio::awaitable<void> give_up(std::shared_ptr<term_state> own, const char* reason);
     boost::asio::awaitable<void> record_resignation(std::shared_ptr<term_state> own);
     boost::asio::awaitable<bool> hand_over(std::shared_ptr<term_state> own);
     [[nodiscard]] leadership_transfer make_offer(const term_state& own) const;
--- a/include/figreach/direct/server_load_tracker.h
+++ b/include/figreach/direct/server_load_tracker.h
@@ -67,6 +67,8 @@
 
     /// Merges a report received by another host. It is ignored if it is older than the known one.
     void merge(const server_load& load, monotonic_time now);
+    /// When a server last answered another host, as far as known; empty if never.
+    [[nodiscard]] std::optional<monotonic_time> last_answer_to_others() const;
     /// Returns the reports that have not expired.
     [[nodiscard]] std::vector<server_load> reports(monotonic_time now) const;
     /// Returns those of them that this host itself has received since the last call.
@@ -102,6 +104,7 @@
     load_tracker_settings settings;
     std::map<backend_server_id, server_load_view> views;
     std::map<backend_server_id, service_time_sample> service_times;
+    std::optional<monotonic_time> last_merged; ///< newest report of another host
 };
 
 /// Returns when a host may send its next request to a cold backend server, so that all hosts
--- a/src/direct/runtime/host_context.cpp
+++ b/src/direct/runtime/host_context.cpp
@@ -18,6 +18,10 @@
 /// In report intervals; see directory_settings::min_outage.
 constexpr int absence_reports = 2;
 
+/// Ages of reports leave out the time on the way. A report counts as later than another event only
+/// by more than this.
+constexpr milliseconds report_delay{300};
+
 std::string rate_text(std::optional<double> rate)
 {
     return rate ? std::to_string(*rate) : "none";
@@ -98,6 +102,12 @@
     }
 }
 
+bool host_context::is_cut_off() const
+{
+    const auto others = this->load_tracker.last_answer_to_others();
+    return this->path.is_lost() && others && *others > this->path.last_reached() + report_delay;
+}
+
 void host_context::log_server_path(const char* change, monotonic_time::duration silence) const
 {
     const auto time = std::chrono::duration_cast<milliseconds>(silence);
--- a/src/direct/runtime/leadership.cpp
+++ b/src/direct/runtime/leadership.cpp
@@ -161,7 +161,8 @@
             co_await this->run_term(std::exchange(this->accepted_term, nullptr));
             continue;
         }
-        if (!this->state.cluster.is_complete() || this->state.cluster.has_leader()) {
+        if (!this->state.cluster.is_complete() || this->state.cluster.has_leader() ||
+            this->state.is_cut_off()) {
             co_await this->state.cluster_changed.wait(monotonic_time::clock::now() +
                                                       idle_poll_interval);
             continue;
@@ -176,13 +177,16 @@
     this->state.leads = true;
     asio::co_spawn(this->state.io, this->keep_lease(own), asio::detached);
     co_await this->manage_keys(own);
+    if (this->current_term == own && !this->resigning && this->state.is_cut_off()) {
+        co_await this->give_up(own, "no_server_path");
+    }
 }
 
 /// Waits for this host's campaign delay and claims the next term if no other host has.
 asio::awaitable<void> leadership::campaign()
 {
     co_await sleep_for(this->state.io, this->campaign_delay());
-    if (this->state.cluster.has_leader() || this->resigning) {
+    if (this->state.cluster.has_leader() || this->resigning || this->state.is_cut_off()) {
         co_return;
     }
     const auto own = co_await this->claim_term();
@@ -369,7 +373,7 @@
 
 asio::awaitable<void> leadership::manage_keys(std::shared_ptr<term_state> own)
 {
-    while (this->current_term == own && !this->resigning) {
+    while (this->current_term == own && !this->resigning && !this->state.is_cut_off()) {
         const auto routes = this->state.cluster.routes();
         for (const auto& [name, service] : routes->configuration().services) {
             if (service.divided_by_key && !own->services.contains(name)) {
@@ -617,7 +621,8 @@
 bool leadership::accept_offer(const leadership_transfer& offer)
 {
     const bool known_term = offer.term >= this->state.cluster.term().term;
-    const bool may_lead = this->state.cluster.is_complete() && !this->resigning;
+    const bool may_lead =
+        this->state.cluster.is_complete() && !this->resigning && !this->state.is_cut_off();
     if (this->current_term || this->accepted_term || !may_lead || !known_term) {
         return false;
     }
@@ -666,7 +671,13 @@
     while (own->pending_calls > 0 && monotonic_time::clock::now() < until) {
         co_await sleep_for(this->state.io, tick_interval);
     }
-    this->step_down(own, "resigned");
+    co_await this->give_up(own, "resigned");
+}
+
+/// Stops leading and lets another host lead as soon as possible.
+asio::awaitable<void> leadership::give_up(std::shared_ptr<term_state> own, const char* reason)
+{
+    this->step_down(own, reason);
     co_await this->wait_for_pending_grants();
     const auto probe = co_await this->state.store.read(term_key, call_timeout);
     const auto* failure = std::get_if<store_failure>(&probe);
--- a/src/direct/runtime/peer_server.cpp
+++ b/src/direct/runtime/peer_server.cpp
@@ -198,10 +198,14 @@
     return out;
 }
 
-/// Returns this host's successor or, if there is none, the leader that this host follows.
+/// Returns this host's successor or the leader that this host follows, whichever leads in the later
+/// term.
 std::optional<leader_hint> peer_server::known_leader() const
 {
-    return this->leader.successor() ? this->leader.successor() : this->feed.followed_leader();
+    const auto& successor = this->leader.successor();
+    const auto followed = this->feed.followed_leader();
+    const bool follows_later = followed && (!successor || followed->term > successor->term);
+    return follows_later ? followed : successor;
 }
 
 } // namespace figreach::direct
--- a/src/direct/server_load_tracker.cpp
+++ b/src/direct/server_load_tracker.cpp
@@ -128,12 +128,18 @@
     view.report = load.report;
     view.reported_at = seen_at;
     view.report_unshared = false;
+    this->last_merged = std::max(this->last_merged.value_or(seen_at), seen_at);
     while (!view.sends.empty() && view.sends.front() <= seen_at) {
         view.sends.pop_front();
     }
     view.sent_since_report = static_cast<std::uint32_t>(view.sends.size());
 }
 
+std::optional<monotonic_time> server_load_tracker::last_answer_to_others() const
+{
+    return this->last_merged;
+}
+
 server_load server_load_tracker::load_of(const backend_server_id& id, const server_load_view& view,
                                          monotonic_time now)
 {
--- a/test/direct/leadership_test.cpp
+++ b/test/direct/leadership_test.cpp
@@ -61,6 +61,29 @@
 
 TEST_GROUP(leadership_test){};
 
+struct path_row {
+    const char* name;
+    bool lost;                       ///< whether the host has lost its path to the servers
+    std::optional<milliseconds> age; ///< of the latest answer of a server to another host
+    bool may_lead;
+};
+
+const path_row path_rows[] = {
+    {"servers are reached", false, milliseconds{0}, true},
+    {"no server reached, others reach some", true, milliseconds{0}, false},
+    {"no server reached, nor by others since", true, milliseconds{2000}, true},
+    {"no server reached, others are not known", true, std::nullopt, true},
+};
+
+/// Connections to servers have failed for a second.
+void lose_path(host_context& state, monotonic_time now)
+{
+    state.path = server_path{{}, now - seconds{1}};
+    for (const auto* server : {"a", "b", "c"}) {
+        state.path.on_failed({server}, 9, now);
+    }
+}
+
 struct newer_row {
     const char* name = "";
     std::uint64_t announced = 0; ///< term announced by another leader
@@ -96,3 +119,22 @@
         CHECK_FALSE_TEXT(host.leader.accept_offer(offer_of(row.term)), row.name);
     }
 }
+
+/// Guards against a leader whose grants reach no server, so that all keys lapse while other hosts
+/// could lead.
+TEST(leadership_test, a_host_that_alone_reaches_no_server_does_not_lead)
+{
+    for (const auto& row : path_rows) {
+        idle_host host;
+        complete(host.state.cluster, 3);
+        const auto now = monotonic_time::clock::now();
+        if (row.lost) {
+            lose_path(host.state, now);
+        }
+        if (row.age) {
+            host.state.load_tracker.merge({.server = {"a"}, .report = {}, .age = *row.age}, now);
+        }
+        CHECK_EQUAL_TEXT(row.may_lead, !host.state.is_cut_off(), row.name);
+        CHECK_EQUAL_TEXT(row.may_lead, host.leader.accept_offer(offer_of(3)), row.name);
+    }
+}
