Pass requests to other hosts while no backend server can be reached

A host that has lost its path passes requests to another host, which sends them as if they were its own, or passes them on once more to the host that keeps a rate limit. The same holds for a single server that others reach: its load reports are later than the own failed connection. Hosts that are cut off as well refuse with no_server_path and are left out for a second; nothing is shared for that. What was passed on and lost may have run; only requests that may be repeated are sent again. Without a host that helps the request is refused at once.

--- a/include/figreach/direct/runtime/request_runner.h
+++ b/include/figreach/direct/runtime/request_runner.h
@@ -91,10 +91,14 @@
     [[nodiscard]] choice select_owner(const caller_request& request);
     [[nodiscard]] choice select_any_server(const caller_request& request);
     [[nodiscard]] choice admit(const caller_request& request, target to);
-    [[nodiscard]] choice admit_limited(const caller_request& request, target to);
+    [[nodiscard]] choice admit_limited(const caller_request& request, target to, bool reachable);
+    [[nodiscard]] choice pass_on(const caller_request& request, target to);
     [[nodiscard]] choice admit_load(target to);
     [[nodiscard]] std::vector<host_id> preferred_senders(const caller_request& request,
-                                                         const target& to) const;
+                                                         const target& to, bool reachable) const;
+    [[nodiscard]] bool can_reach(const backend_server_id& id) const;
+    [[nodiscard]] bool is_reached_by_others(const backend_server_id& id) const;
+    [[nodiscard]] host_refusal refuse_without_path() const;
     [[nodiscard]] std::uint32_t max_connections_per_server() const;
     [[nodiscard]] target make_target(const server_record& record) const;
     [[nodiscard]] milliseconds add_jitter(milliseconds time);
--- a/include/figreach/direct/server_load_tracker.h
+++ b/include/figreach/direct/server_load_tracker.h
@@ -48,6 +48,7 @@
     std::optional<milliseconds> service_time; ///< moving average without a queue
     double failures = 0.0;                    ///< recent failures, exponentially decayed
     monotonic_time failed_at{};
+    monotonic_time unreachable_at{};
     monotonic_time unreachable_until{};
     std::optional<monotonic_time> cold_sent_at; ///< last send while the server was cold
 };
@@ -88,6 +89,8 @@
     [[nodiscard]] double cost(const backend_server_id& id, std::uint32_t slots,
                               monotonic_time now) const;
     [[nodiscard]] bool is_reachable(const backend_server_id& id, monotonic_time now) const;
+    /// Whether the server has answered some host since this host could not connect to it.
+    [[nodiscard]] bool answered_since_unreachable(const backend_server_id& id) const;
 
 private:
     void update_service_time(const backend_server_id& id, nanoseconds latency, double slowdown);
--- a/include/figreach/error_kind.h
+++ b/include/figreach/error_kind.h
@@ -37,6 +37,7 @@
     server_at_limit,
     server_refused,
     server_unreachable,
+    no_server_path,
     outcome_unknown,
     answer_incomplete,
     retry_budget_spent,
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -23,7 +23,8 @@
 constexpr milliseconds connect_timeout{400};
 /// A host answers a connection attempt at once unless it is down or partitioned.
 constexpr milliseconds peer_connect_timeout{200};
-constexpr std::size_t max_forward_tries = 2;
+/// Peers may be cut off from the servers as well, of which this host learns only by trying.
+constexpr std::size_t max_forward_tries = 4;
 constexpr milliseconds min_time_left{5}; ///< a request with less time left is not sent
 /// A leaving owner still receives requests for its keys during this percentage of the leaving
 /// limit.
@@ -48,6 +49,12 @@
     return answer.result_int() >= first_server_error;
 }
 
+/// Whether another host may serve a request that a host has refused like this.
+bool is_refused_by_host(error_kind kind)
+{
+    return kind == error_kind::host_stopping || kind == error_kind::no_server_path;
+}
+
 std::string outcome_text(const request_outcome& outcome)
 {
     if (const auto* answer = std::get_if<http_response>(&outcome)) {
@@ -205,9 +212,6 @@
     if (record->leaving_since && now >= *record->leaving_since + leaving_limit) {
         return wait_for_change{};
     }
-    if (!this->state.load_tracker.is_reachable(range.owner, now)) {
-        return host_refusal{.kind = error_kind::no_owner, .retry_after = no_owner_retry_delay};
-    }
     auto out = this->make_target(*record);
     out.fence = range.fence;
     auto admitted = this->admit(request, std::move(out));
@@ -218,22 +222,36 @@
     return admitted;
 }
 
-/// Picks the cheaper of two random servers that accept new work (power of two choices).
+/// Picks the cheaper of two random servers that accept new work (power of two choices). If this
+/// host can connect to none of them, a peer picks one.
 request_runner::choice request_runner::select_any_server(const caller_request& request)
 {
     const auto now = monotonic_time::clock::now();
     std::vector<target> candidates;
     std::vector<double> costs;
+    std::optional<target> unreachable;
     host_refusal refusal{.kind = error_kind::no_owner, .retry_after = no_owner_retry_delay};
     for (const auto* record : this->state.cluster.servers_for_new_work(this->service->name)) {
         const auto& id = record->entry.id;
         const bool is_other = request.forwarded && !request.forwarded->server.empty() &&
                               request.forwarded->server != id;
-        if (is_other || !this->state.load_tracker.is_reachable(id, now) ||
-            this->tried_servers.contains(id)) {
+        if (is_other || this->tried_servers.contains(id)) {
+            continue;
+        }
+        if (!this->can_reach(id)) {
+            if (this->is_reached_by_others(id)) {
+                unreachable = this->make_target(*record);
+            }
             continue;
         }
-        auto admitted = this->admit(request, this->make_target(*record));
+        // Which host sends to a limited server is decided only for the one that is chosen.
+        const auto held_off = this->state.rate_limits.held_off_for(id, now);
+        auto admitted = this->state.rate_limits.rate_of(id)
+                            ? choice{this->make_target(*record)}
+                            : this->admit_load(this->make_target(*record));
+        if (held_off > milliseconds{0}) {
+            admitted = host_refusal{.kind = error_kind::server_at_limit, .retry_after = held_off};
+        }
         if (const auto* refused = std::get_if<host_refusal>(&admitted)) {
             refusal = *refused;
             continue;
@@ -241,11 +259,16 @@
         candidates.push_back(std::get<target>(std::move(admitted)));
         costs.push_back(this->state.load_tracker.cost(id, candidates.back().slots, now));
     }
-    const auto chosen = cheaper_of_two(costs, this->state.random_state);
-    if (!chosen) {
-        return refusal;
+    while (const auto chosen = cheaper_of_two(costs, this->state.random_state)) {
+        auto admitted = this->admit(request, candidates[*chosen]);
+        if (!std::holds_alternative<host_refusal>(admitted)) {
+            return admitted;
+        }
+        refusal = std::get<host_refusal>(admitted);
+        candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(*chosen));
+        costs.erase(costs.begin() + static_cast<std::ptrdiff_t>(*chosen));
     }
-    return candidates[*chosen];
+    return unreachable ? this->pass_on(request, *unreachable) : refusal;
 }
 
 /// This host's share of the connections that a backend server accepts from all hosts.
@@ -257,9 +280,17 @@
     return static_cast<std::uint32_t>(std::max<std::uint64_t>(shared / hosts, 1));
 }
 
-/// The hosts that send to a server that limits its rate, up to this one. Empty if this host sends.
+/// Whether this host may be able to connect to the server.
+bool request_runner::can_reach(const backend_server_id& id) const
+{
+    return !this->state.path.is_lost() &&
+           this->state.load_tracker.is_reachable(id, monotonic_time::clock::now());
+}
+
+/// The hosts that send to a server that limits its rate, up to this one if it reaches the server.
+/// Empty if this host sends.
 std::vector<host_id> request_runner::preferred_senders(const caller_request& request,
-                                                       const target& to) const
+                                                       const target& to, bool reachable) const
 {
     std::vector<host_id> out;
     if (request.forwarded && request.forwarded->hops_left == 0) {
@@ -267,10 +298,11 @@
     }
     const auto now = monotonic_time::clock::now();
     for (auto& name : order_peers(to.id.value, to.failure_domain, this->state.cluster)) {
-        if (name == this->state.settings.name || out.size() == max_forward_tries) {
+        const bool is_self = name == this->state.settings.name;
+        if ((is_self && reachable) || out.size() == max_forward_tries) {
             return out;
         }
-        if (this->state.peers.is_usable(name, now)) {
+        if (!is_self && this->state.peers.is_usable(name, now)) {
             out.push_back(std::move(name));
         }
     }
@@ -279,20 +311,56 @@
 
 request_runner::choice request_runner::admit(const caller_request& request, target to)
 {
+    const bool reachable = this->can_reach(to.id);
+    if (!reachable && !this->is_reached_by_others(to.id)) {
+        return host_refusal{.kind = error_kind::no_owner, .retry_after = no_owner_retry_delay};
+    }
     if (this->state.rate_limits.rate_of(to.id)) {
-        return this->admit_limited(request, std::move(to));
+        return this->admit_limited(request, std::move(to), reachable);
     }
-    return this->admit_load(std::move(to));
+    return reachable ? this->admit_load(std::move(to)) : this->pass_on(request, std::move(to));
+}
+
+/// Whether another host can probably connect to a server to which this host cannot.
+bool request_runner::is_reached_by_others(const backend_server_id& id) const
+{
+    return this->state.path.is_lost() || this->state.load_tracker.answered_since_unreachable(id);
+}
+
+/// The refusal if neither this host nor a peer can send.
+host_refusal request_runner::refuse_without_path() const
+{
+    const auto kind =
+        this->state.path.is_lost() ? error_kind::no_server_path : error_kind::no_owner;
+    return {.kind = kind, .retry_after = no_owner_retry_delay};
+}
+
+/// Lets another host send, since this one cannot connect to the server.
+request_runner::choice request_runner::pass_on(const caller_request& request, target to)
+{
+    if (!request.forwarded) {
+        to.peers = this->preferred_senders(request, to, false);
+        to.hops_left = 1;
+        to.forwarded_for = this->state.path.is_lost() ? "no_server_path" : "server_unreachable";
+    }
+    if (to.peers.empty()) {
+        return this->refuse_without_path();
+    }
+    return to;
 }
 
 /// Lets one host send all requests to a server that limits its rate, so that the limit is kept
 /// without dividing it.
-request_runner::choice request_runner::admit_limited(const caller_request& request, target to)
+request_runner::choice request_runner::admit_limited(const caller_request& request, target to,
+                                                     bool reachable)
 {
     const auto now = monotonic_time::clock::now();
     const auto& limits = this->state.rate_limits;
-    to.peers = this->preferred_senders(request, to);
+    to.peers = this->preferred_senders(request, to, reachable);
     to.forwarded_for = "rate_limit";
+    if (to.peers.empty() && !reachable) {
+        return this->refuse_without_path();
+    }
     const auto delay =
         to.peers.empty() ? limits.delay(to.id, now) : limits.held_off_for(to.id, now);
     if (delay > milliseconds{0}) {
@@ -420,11 +488,11 @@
             co_return deadline_passed{};
         }
         passed_on = true;
-        // An owner is selected again by the peer, which may know a newer one.
+        // The peer may know a newer owner.
+        const bool chooses_server = this->service->divided_by_key || to.hops_left > 0;
         const forwarding_head head{.from = this->state.settings.name,
                                    .hops_left = to.hops_left,
-                                   .server =
-                                       this->service->divided_by_key ? backend_server_id{} : to.id};
+                                   .server = chooses_server ? backend_server_id{} : to.id};
         const auto message =
             std::make_shared<http_request>(encode_forwarded(request, head, time_left));
         this->state.peers.on_sent(name, now);
@@ -442,17 +510,18 @@
         this->log_forward(request, to, name,
                           answer_head.refusal ? name_of(answer_head.refusal->kind)
                                               : name_of(result.outcome));
-        if (answer_head.refusal && answer_head.refusal->kind == error_kind::host_stopping) {
+        if (answer_head.refusal && is_refused_by_host(answer_head.refusal->kind)) {
             this->state.peers.on_failed(name, ended_at);
             continue;
         }
         co_return this->handle_forwarded_answer(std::move(result), answer_head, to);
     }
     if (passed_on) {
-        co_return refused_not_run{.kind = error_kind::host_stopping,
+        co_return refused_not_run{.kind = error_kind::no_server_path,
                                   .retry_after = refused_retry_delay};
     }
-    co_return rejected_locally{.kind = error_kind::no_owner, .retry_after = refused_retry_delay};
+    co_return rejected_locally{.kind = error_kind::no_server_path,
+                               .retry_after = refused_retry_delay};
 }
 
 /// Maps the answer of a peer to an attempt event.
--- a/src/direct/server_load_tracker.cpp
+++ b/src/direct/server_load_tracker.cpp
@@ -75,6 +75,7 @@
         this->add_service_time(id, latency);
     }
     if (outcome == send_outcome::unreachable) {
+        view.unreachable_at = now;
         view.unreachable_until = now + this->settings.avoid_unreachable;
     }
     if (outcome == send_outcome::failed || outcome == send_outcome::unreachable) {
@@ -268,6 +269,12 @@
     return now >= this->view(id).unreachable_until;
 }
 
+bool server_load_tracker::answered_since_unreachable(const backend_server_id& id) const
+{
+    const auto& known = this->view(id);
+    return known.report && known.reported_at > known.unreachable_at;
+}
+
 std::optional<monotonic_time> next_cold_send(const backend_server_id& id,
                                              const server_load_view& view, double rate,
                                              const host_id& self, const std::vector<host_id>& hosts)
--- a/src/error_kind.cpp
+++ b/src/error_kind.cpp
@@ -48,6 +48,8 @@
      "The backend server refused the request before running it."},
     {server_unreachable, "server_unreachable", 502, not_run, true,
      "No connection to the backend server could be made."},
+    {no_server_path, "no_server_path", 503, not_run, true,
+     "The entry host reaches no backend server at this moment; come back through another."},
     {outcome_unknown, "outcome_unknown", 502, unknown, false,
      "The backend server was lost after the request was sent; look whether it took effect."},
     {answer_incomplete, "answer_incomplete", 0, unknown, false,
--- a/src/request_attempts.cpp
+++ b/src/request_attempts.cpp
@@ -174,6 +174,7 @@
     case error_kind::no_owner:
     case error_kind::host_stopping:
     case error_kind::server_unreachable:
+    case error_kind::no_server_path:
     case error_kind::outcome_unknown:
         return true;
     case error_kind::server_refused:
--- a/test/direct/path_fixture.h
+++ b/test/direct/path_fixture.h
@@ -138,6 +138,21 @@
         asio::post(this->io, [resume = std::move(resume)] { resume.wait(); });
     }
 
+    /// Makes the host find that connections to several servers have failed for a while.
+    void lose_server_path()
+    {
+        std::promise<void> done;
+        asio::post(this->io, [this, &done] {
+            const auto now = monotonic_time::clock::now();
+            this->state.path = server_path{{}, now - seconds{1}};
+            for (const auto* server : {"a", "b", "c"}) {
+                this->state.path.on_failed({server}, 3, now);
+            }
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
     /// Connects as a caller and sends a request without reading the response.
     tcp::socket call(asio::io_context& own, const std::string& request)
     {
