Send requests again that wait on connections that went silent with the path

When a host lost its path to the servers, requests on kept connections waited there for their whole time limit, up to 2.5 s, and kept connections stayed in the pool although they may be silent for good.

On the loss of the path idle connections to servers are reset, and so are those on which requests wait that may be repeated; these go to another host, within the retry budget. The time to connect to other hosts is bounded for all of them together, so that a host that is cut off from the other hosts as well refuses within 0.25 s.

server_path_loss_test: without the change the request waits until the test ends (the server never answers).

--- a/include/figreach/direct/runtime/host_context.h
+++ b/include/figreach/direct/runtime/host_context.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -33,7 +34,8 @@
     void record_store_call(bool answered, monotonic_time called_at);
     /// Records a new connection to a backend server or an answer from one.
     void record_server_reached();
-    /// Records that no connection to a backend server could be made.
+    /// Records that no connection to a backend server could be made. If the path is lost by that,
+    /// connections to servers are reset: they may be silent for good.
     void record_server_unreachable(const backend_server_id& server);
     /// Whether this host has lost its path to all backend servers while other hosts reach some.
     [[nodiscard]] bool is_cut_off() const;
@@ -64,6 +66,8 @@
     server_rate_limits rate_limits;
     std::set<backend_server_id> invalid_rate_limits; ///< servers whose last field was invalid
     connection_pool server_connections;              ///< connections for caller requests
+    /// Connections on which requests that may be repeated wait for their answers.
+    std::set<std::shared_ptr<upstream_connection>> repeatable_exchanges;
     connection_pool peer_connections; ///< connections for requests passed to other hosts
     peer_health peers;
     std::map<service_id, retry_budget> retry_budgets;
--- a/include/figreach/runtime/connection_pool.h
+++ b/include/figreach/runtime/connection_pool.h
@@ -38,6 +38,8 @@
     /// As take(), but returns null instead of throwing.
     boost::asio::awaitable<std::unique_ptr<upstream_connection>>
     try_take(const std::string& address, monotonic_time deadline);
+    /// Resets all idle connections.
+    void clear();
     /// Returns a connection to the pool. Its last answer must have been read completely.
     void give_back(const std::string& address, std::unique_ptr<upstream_connection> connection);
 
--- a/src/direct/runtime/host_context.cpp
+++ b/src/direct/runtime/host_context.cpp
@@ -99,6 +99,10 @@
     const auto known = this->cluster.servers_for_new_work().size();
     if (this->path.on_failed(server, known, now)) {
         this->log_server_path("lost", now - this->path.last_reached());
+        this->server_connections.clear();
+        for (const auto& one : this->repeatable_exchanges) {
+            reset(*one);
+        }
     }
 }
 
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -21,8 +21,9 @@
 constexpr milliseconds no_owner_retry_delay{400};
 constexpr milliseconds refused_retry_delay{250};
 constexpr milliseconds connect_timeout{400};
-/// A host answers a connection attempt at once unless it is down or partitioned.
-constexpr milliseconds peer_connect_timeout{200};
+/// For all peers that are tried for a request. A host answers a connection attempt at once unless
+/// it is down or partitioned.
+constexpr milliseconds peers_connect_timeout{250};
 /// Peers may be cut off from the servers as well, of which this host learns only by trying.
 constexpr std::size_t max_forward_tries = 4;
 constexpr milliseconds min_time_left{5}; ///< a request with less time left is not sent
@@ -446,7 +447,13 @@
     std::shared_ptr<const http_request> message, const std::string& request_id)
 {
     this->upstream = std::move(taken);
+    const auto connection = this->upstream;
+    const bool to_server = &pool == &this->state.server_connections;
+    if (to_server && this->route->kind == request_kind::idempotent) {
+        this->state.repeatable_exchanges.insert(connection);
+    }
     auto result = co_await exchange(this->upstream, std::move(message), request_id, this->deadline);
+    this->state.repeatable_exchanges.erase(connection);
     if (this->upstream->stream.socket().is_open()) {
         this->upstream->idle_until =
             monotonic_time::clock::now() +
@@ -463,14 +470,14 @@
 {
     this->last_target = to;
     bool passed_on = false;
+    const auto connect_until =
+        std::min(this->deadline, monotonic_time::clock::now() + peers_connect_timeout);
     for (const auto& name : to.peers) {
         const auto* host = this->state.cluster.find_host(name);
-        if (host == nullptr) {
+        if (host == nullptr || monotonic_time::clock::now() >= connect_until) {
             continue;
         }
         const auto address = host->peer_address;
-        const auto connect_until =
-            std::min(this->deadline, monotonic_time::clock::now() + peer_connect_timeout);
         auto connection = co_await this->state.peer_connections.try_take(address, connect_until);
         const auto now = monotonic_time::clock::now();
         if (!connection) {
@@ -607,7 +614,8 @@
         return deadline_passed{};
     case exchange_outcome::cancelled:
         record(send_outcome::cancelled);
-        return caller_left{};
+        // Without the caller, the connection was reset because the path to the servers was lost.
+        return this->cancelled ? attempt_event{caller_left{}} : attempt_event{lost_after_send{}};
     }
     return lost_after_send{};
 }
--- a/src/runtime/connection_pool.cpp
+++ b/src/runtime/connection_pool.cpp
@@ -91,6 +91,15 @@
     }
 }
 
+void connection_pool::clear()
+{
+    for (auto& [address, connections] : std::exchange(this->idle, {})) {
+        for (const auto& one : connections) {
+            reset(*one);
+        }
+    }
+}
+
 void connection_pool::give_back(const std::string& address,
                                 std::unique_ptr<upstream_connection> connection)
 {
--- a/test/direct/path_fixture.h
+++ b/test/direct/path_fixture.h
@@ -146,7 +146,7 @@
             const auto now = monotonic_time::clock::now();
             this->state.path = server_path{{}, now - seconds{1}};
             for (const auto* server : {"a", "b", "c"}) {
-                this->state.path.on_failed({server}, 3, now);
+                this->state.record_server_unreachable({server});
             }
             done.set_value();
         });
--- a/test/direct/server_path_loss_test.cpp
+++ b/test/direct/server_path_loss_test.cpp
@@ -91,6 +91,31 @@
     }
 }
 
+/// Guards against requests that wait for their whole time on connections that have gone silent.
+TEST(server_path_loss_test,
+     a_silent_request_is_sent_again_through_another_host_if_it_may_be_repeated)
+{
+    scripted_server server{{closing("plan")}};
+    std::promise<void> arrived;
+    fake_upstream silent{[&arrived](tcp::socket& socket) {
+        boost::system::error_code failed;
+        asio::streambuf buffer;
+        asio::read_until(socket, buffer, "\r\n\r\n", failed);
+        arrived.set_value();
+        char byte = 0;
+        socket.read_some(asio::buffer(&byte, 1), failed);
+    }};
+    const fixture_host own{.name = {"h1"}, .peer_address = local_address(free_port())};
+    const fixture_host other{.name = {"h2"}, .peer_address = local_address(free_port())};
+    path_fixture cut{silent.address(), own, {own, other}};
+    path_fixture second{server.address(), other, {own, other}};
+    auto response = std::async(std::launch::async, [&cut] { return cut.exchange(read_one); });
+    arrived.get_future().wait();
+    cut.lose_server_path();
+    CHECK_TRUE(response.get().starts_with("HTTP/1.1 200"));
+    CHECK_EQUAL(1, server.requests());
+}
+
 TEST(server_path_loss_test, a_request_is_refused_at_once_if_no_other_host_reaches_a_server)
 {
     const fixture_host own{.name = {"h1"}, .peer_address = local_address(free_port())};
