Cut off answers of backend servers that never end, and skip interim answers

A faulty server may send bytes without end. Two kinds were not handled: a chunk whose extension never ends was read ahead until memory ran out (64 MB in the test), and an interim answer (1xx) was passed to the caller as the final one. Reading ahead on a connection to a server is bounded now, and so is the sum of the bodies that are being read, since 16 MB for each of many answers is more than a host has. Up to three interim answers are skipped. An answer that is cut off ends with the one log line of a failed send; its outcome is unknown.

--- a/include/figreach/direct/runtime/exchange.h
+++ b/include/figreach/direct/runtime/exchange.h
@@ -33,10 +33,12 @@
 using shared_connection = std::shared_ptr<upstream_connection>;
 
 /// Sends a request and reads the complete response. On return the connection is open only if it
-/// can be reused.
+/// can be reused. `buffered_bytes` counts the bodies that are being read; a response that would
+/// exceed the limit of all of them together counts as lost.
 boost::asio::awaitable<exchange_result> exchange(shared_connection connection,
                                                  std::shared_ptr<const http_request> request,
-                                                 std::string request_id, monotonic_time deadline);
+                                                 std::string request_id, monotonic_time deadline,
+                                                 std::uint64_t& buffered_bytes);
 
 /// The caller's message without the header fields that concern only the caller's connection.
 [[nodiscard]] http_request make_upstream_message(const http_request& message);
--- a/include/figreach/direct/runtime/host_context.h
+++ b/include/figreach/direct/runtime/host_context.h
@@ -80,6 +80,7 @@
     /// stopped leading.
     std::uint32_t pending_grants = 0;
     std::uint32_t in_flight = 0;
+    std::uint64_t answer_bytes = 0;   ///< total size of response bodies that are being read
     std::uint64_t buffered_bytes = 0; ///< total size of buffered request bodies
 };
 
--- a/include/figreach/runtime/connection_pool.h
+++ b/include/figreach/runtime/connection_pool.h
@@ -15,10 +15,13 @@
 
 namespace figreach {
 
+/// Upper bound of the bytes that are read ahead on a connection. A line without end exceeds it.
+inline constexpr std::size_t max_upstream_buffer_bytes = 256 * 1024;
+
 /// One connection to a backend server or to another entry host.
 struct upstream_connection {
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{max_upstream_buffer_bytes};
     bool reused = false;
     monotonic_time idle_until = monotonic_time::max(); ///< not reused later than this
 };
--- a/src/direct/runtime/exchange.cpp
+++ b/src/direct/runtime/exchange.cpp
@@ -22,8 +22,10 @@
 
 /// Longer responses count as lost: a response is forwarded completely or not at all.
 constexpr std::uint64_t max_answer_bytes = 16 * 1024 * 1024;
+/// Of all responses that are being read.
+constexpr std::uint64_t max_buffered_bytes = 48 * 1024 * 1024;
 constexpr std::uint32_t max_header_bytes = 64 * 1024;
-/// Maximum number of responses to earlier requests skipped on one connection.
+/// Maximum number of interim responses and of responses to earlier requests that are skipped.
 constexpr int max_stray_answers = 3;
 constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 
@@ -61,6 +63,13 @@
     return lost(failed.message());
 }
 
+/// Whether the final response is still to come.
+bool is_interim(unsigned status)
+{
+    constexpr unsigned first_final = 200;
+    return status < first_final;
+}
+
 bool is_success(unsigned status)
 {
     constexpr unsigned first_success = 200;
@@ -77,11 +86,34 @@
     return head.encoded ? "encoded body" : "";
 }
 
+/// Reads a response. Its body counts in `buffered_bytes` meanwhile.
+asio::awaitable<beast::error_code> read_response(upstream_connection& upstream,
+                                                 http::response_parser<http::string_body>& parser,
+                                                 std::uint64_t& buffered_bytes)
+{
+    std::uint64_t counted = 0;
+    beast::error_code failed;
+    while (!failed && !parser.is_done()) {
+        const auto [read_error, count] =
+            co_await http::async_read_some(upstream.stream, upstream.buffer, parser, no_throw);
+        const auto size = parser.get().body().size();
+        buffered_bytes += size - counted;
+        counted = size;
+        failed = read_error;
+        if (!failed && buffered_bytes > max_buffered_bytes) {
+            failed = http::error::body_limit;
+        }
+    }
+    buffered_bytes -= counted;
+    co_return failed;
+}
+
 } // namespace
 
 asio::awaitable<exchange_result> exchange(shared_connection connection,
                                           std::shared_ptr<const http_request> request,
-                                          std::string request_id, monotonic_time deadline)
+                                          std::string request_id, monotonic_time deadline,
+                                          std::uint64_t& buffered_bytes)
 {
     auto& upstream = *connection;
     upstream.stream.expires_at(deadline);
@@ -93,14 +125,16 @@
         parser.header_limit(max_header_bytes);
         parser.body_limit(max_answer_bytes);
         parser.skip(request->method() == http::verb::head);
-        const auto [failed, count] =
-            co_await http::async_read(upstream.stream, upstream.buffer, parser, no_throw);
+        const auto failed = co_await read_response(upstream, parser, buffered_bytes);
         if (failed) {
             auto result = result_for_error(upstream, failed, deadline);
             reset(upstream);
             co_return result;
         }
         auto answer = parser.release();
+        if (is_interim(answer.result_int())) {
+            continue;
+        }
         auto head = platform::decode_answer_head(answer.result_int(), answer);
         const bool lacks_id = head.request_id.empty() && !upstream.reused && stray == 0;
         if (head.request_id != request_id && !lacks_id) {
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -452,7 +452,8 @@
     if (to_server && this->route->kind == request_kind::idempotent) {
         this->state.repeatable_exchanges.insert(connection);
     }
-    auto result = co_await exchange(this->upstream, std::move(message), request_id, this->deadline);
+    auto result = co_await exchange(this->upstream, std::move(message), request_id, this->deadline,
+                                    this->state.answer_bytes);
     this->state.repeatable_exchanges.erase(connection);
     if (this->upstream->stream.socket().is_open()) {
         this->upstream->idle_until =
--- a/src/runtime/connection_pool.cpp
+++ b/src/runtime/connection_pool.cpp
@@ -68,7 +68,7 @@
         }
     }
     auto fresh = std::make_unique<upstream_connection>(
-        upstream_connection{.stream = boost::beast::tcp_stream{this->io}, .buffer = {}});
+        upstream_connection{.stream = boost::beast::tcp_stream{this->io}});
     fresh->stream.expires_at(deadline);
     const auto endpoint = to_endpoint(address);
     co_await fresh->stream.async_connect(endpoint, asio::use_awaitable);
--- /dev/null
+++ b/test/direct/endless_answer_test.cpp
@@ -0,0 +1,63 @@
+#include "path_fixture.h"
+
+using namespace figreach;
+using namespace figreach::direct;
+
+namespace {
+
+struct endless_row {
+    const char* name;
+    std::string start; ///< sent once
+    std::string more;  ///< repeated until the host closes the connection
+};
+
+const std::string head = "HTTP/1.1 200 OK\r\n" + own_id + signature;
+
+const endless_row endless_rows[] = {
+    {"a head without end", head, "X-More: " + std::string(1000, 'a') + "\r\n"},
+    {"a head line without end", head + "X-More: ", std::string(1000, 'a')},
+    {"a status line without end", "HTTP/1.1 200 ", std::string(1000, 'a')},
+    {"bytes that are no answer", "", std::string(1000, '\0')},
+    {"a body without length or end", head + "\r\n", std::string(1000, 'a')},
+    {"a chunked body without end", head + "Transfer-Encoding: chunked\r\n\r\n",
+     "3e8\r\n" + std::string(1000, 'a') + "\r\n"},
+    {"a chunk without end", head + "Transfer-Encoding: chunked\r\n\r\nffffffffffffff\r\n",
+     std::string(1000, 'a')},
+    {"chunk extensions without end", head + "Transfer-Encoding: chunked\r\n\r\n3e8;",
+     std::string(1000, 'a')},
+    {"trailers without end", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+     "X-More: " + std::string(1000, 'a') + "\r\n"},
+    {"a body of a huge length", head + "Content-Length: 9000000000000000000\r\n\r\n",
+     std::string(1000, 'a')},
+    {"interim answers without end", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+    {"answers to other requests without end", "",
+     "HTTP/1.1 200 OK\r\nFigreach-Request-Id: 77\r\n" + signature + "Content-Length: 0\r\n\r\n"},
+};
+
+/// More than a host accepts of one answer.
+constexpr std::size_t max_bytes = 64 * 1024 * 1024;
+
+} // namespace
+
+TEST_GROUP(endless_answer_test){};
+
+/// Guards against buffering an answer that never ends until the host runs out of memory.
+TEST(endless_answer_test, an_answer_without_end_is_cut_off_and_its_outcome_is_unknown)
+{
+    for (const auto& row : endless_rows) {
+        std::atomic<std::size_t> sent{0};
+        fake_upstream server{[&](tcp::socket& socket) {
+            boost::system::error_code failed;
+            asio::streambuf buffer;
+            asio::read_until(socket, buffer, "\r\n\r\n", failed);
+            asio::write(socket, asio::buffer(row.start), failed);
+            while (!failed && sent < max_bytes) {
+                sent += asio::write(socket, asio::buffer(row.more), failed);
+            }
+        }};
+        path_fixture host{server.address()};
+        const auto response = host.exchange(order_one);
+        STRNCMP_EQUAL_TEXT("HTTP/1.1 502", response.c_str(), 12, row.name);
+        CHECK_TRUE_TEXT(sent < max_bytes, row.name);
+    }
+}
