A connection that could not be made costs no retry

The budget bounds what reaches backend servers beyond the first send; a failed connection has sent nothing. Such a retry is free now, and bounded by the number of tries of a request.

request_attempts_test: before, the request failed with server_unreachable.

--- a/include/figreach/request_attempts.h
+++ b/include/figreach/request_attempts.h
@@ -141,8 +141,12 @@
     [[nodiscard]] attempt_action on(const caller_left& event, monotonic_time now);
 
     [[nodiscard]] attempt_action fail(error_kind kind, milliseconds retry_after);
+    /// A retry draws on the budget unless nothing has been sent to a backend server yet.
+    enum class retry_cost : std::uint8_t { budgeted, free };
+
     [[nodiscard]] attempt_action retry_or_fail(error_kind kind, milliseconds retry_after,
-                                               monotonic_time now);
+                                               monotonic_time now,
+                                               retry_cost cost = retry_cost::budgeted);
     [[nodiscard]] bool is_retryable(error_kind kind) const;
 
     attempt_settings settings;
--- a/src/request_attempts.cpp
+++ b/src/request_attempts.cpp
@@ -71,7 +71,7 @@
     if (now >= this->facts.deadline) {
         return this->fail(error_kind::deadline_expired, milliseconds{0});
     }
-    return this->retry_or_fail(event.kind, this->settings.retry_after, now);
+    return this->retry_or_fail(event.kind, this->settings.retry_after, now, retry_cost::free);
 }
 
 attempt_action request_attempts::on(const sending&, monotonic_time now)
@@ -150,7 +150,7 @@
 }
 
 attempt_action request_attempts::retry_or_fail(error_kind kind, milliseconds retry_after,
-                                               monotonic_time now)
+                                               monotonic_time now, retry_cost cost)
 {
     if (this->facts.forwarded || !this->is_retryable(kind) ||
         this->sent >= this->settings.max_sends || this->retries >= this->settings.max_sends) {
@@ -158,7 +158,8 @@
     }
     const auto random = next_random(this->random_state);
     const auto delay = jittered_backoff(this->settings.backoff, this->retries + 1, random);
-    if (now + delay >= this->facts.deadline || !this->budget.spend()) {
+    const bool affordable = cost == retry_cost::free || this->budget.spend();
+    if (now + delay >= this->facts.deadline || !affordable) {
         return this->fail(kind, retry_after);
     }
     ++this->retries;
--- a/test/request_attempts_test.cpp
+++ b/test/request_attempts_test.cpp
@@ -215,3 +215,24 @@
         CHECK_TRUE_TEXT(row.violations.contains(found), (row.name + (": " + found)).c_str());
     }
 }
+
+/// Guards against refusing requests because connections that could not be made have used up the
+/// budget of retries.
+TEST(request_attempts_test, only_a_retry_of_something_sent_draws_on_the_budget)
+{
+    retry_budget budget{{.percent = 0, .max_retries = 0}};
+    const auto last_action = [&budget](const std::vector<attempt_event>& events) {
+        const attempt_facts facts{.divided_by_key = false,
+                                  .arrival = start,
+                                  .deadline = start + seconds{10}};
+        request_attempts attempts{{}, facts, budget, 1};
+        attempt_action out = no_action{};
+        for (const auto& event : events) {
+            out = attempts.handle(event, start);
+        }
+        return text_of(out);
+    };
+    STRCMP_EQUAL("look up", last_action({here, not_sent{}}).c_str());
+    STRCMP_EQUAL("server_refused",
+                 last_action({here, sending{}, refused_not_run{error_kind::server_refused}}).c_str());
+}
