--- a/include/figreach/direct/peer_choice.h
+++ b/include/figreach/direct/peer_choice.h
@@ -8,10 +8,16 @@
 
 namespace figreach::direct {
 
-/// Orders the hosts that may send to a backend server on behalf of others: registered hosts first,
-/// then hosts in the same failure domain as the server, then by a rendezvous hash of `item`. Hosts
-/// with the same cluster state get the same order.
-[[nodiscard]] std::vector<host_id>
-order_peers(const std::string& item, const failure_domain_id& domain, const cluster_state& cluster);
+/// Orders the hosts that may send all requests to a backend server: registered hosts first, then
+/// hosts in the failure domain of the server, then by a rendezvous hash weighted by processor
+/// share. Hosts with the same cluster state get the same order.
+[[nodiscard]] std::vector<host_id> order_senders(const backend_server_id& server,
+                                                 const failure_domain_id& domain,
+                                                 const cluster_state& cluster);
+
+/// Orders the hosts that may serve a request for another host: registered hosts first, then by the
+/// weighted hash of the request's id, so that requests spread over all hosts.
+[[nodiscard]] std::vector<host_id> order_helpers(const std::string& request_id,
+                                                 const cluster_state& cluster);
 
 } // namespace figreach::direct
--- a/src/direct/peer_choice.cpp
+++ b/src/direct/peer_choice.cpp
@@ -1,27 +1,41 @@
 #include "figreach/direct/peer_choice.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <tuple>
+#include <utility>
 
 #include "figreach/key_hash.h"
 
 namespace figreach::direct {
 
-std::vector<host_id> order_peers(const std::string& item, const failure_domain_id& domain,
+namespace {
+
+/// The probability that a host has the highest weight is proportional to its processor share.
+double weighted_hash(const std::string& item, const host_id& name, std::uint32_t processor_percent)
+{
+    constexpr double hashes = 18446744073709551616.0; // 2^64
+    const auto fraction = (static_cast<double>(rendezvous_weight(item, name.value)) + 0.5) / hashes;
+    return std::max(processor_percent, 1U) / -std::log(std::min(fraction, 1.0 - 1e-12));
+}
+
+std::vector<host_id> order_hosts(const std::string& item, const failure_domain_id* domain,
                                  const cluster_state& cluster)
 {
     struct ranked_host {
-        std::tuple<bool, bool, std::uint64_t> rank;
+        std::tuple<bool, bool, double> rank;
         host_id name;
     };
     std::vector<ranked_host> ranked;
-    for (const auto& name : cluster.hosts()) {
+    for (auto& name : cluster.hosts()) {
         const auto* host = cluster.find_host(name);
-        const bool is_near = host != nullptr && host->failure_domain == domain;
+        const bool is_near =
+            domain != nullptr && host != nullptr && host->failure_domain == *domain;
+        const auto processor = host != nullptr ? host->processor_percent : 1U;
         ranked.push_back(
-            {.rank = {cluster.is_registered(name), is_near, rendezvous_weight(item, name.value)},
-             .name = name});
+            {.rank = {cluster.is_registered(name), is_near, weighted_hash(item, name, processor)},
+             .name = std::move(name)});
     }
     std::sort(ranked.begin(), ranked.end(),
               [](const auto& left, const auto& right) { return left.rank > right.rank; });
@@ -33,4 +47,17 @@
     return out;
 }
 
+} // namespace
+
+std::vector<host_id> order_senders(const backend_server_id& server, const failure_domain_id& domain,
+                                   const cluster_state& cluster)
+{
+    return order_hosts(server.value, &domain, cluster);
+}
+
+std::vector<host_id> order_helpers(const std::string& request_id, const cluster_state& cluster)
+{
+    return order_hosts(request_id, nullptr, cluster);
+}
+
 } // namespace figreach::direct
--- a/src/direct/peer_health.cpp
+++ b/src/direct/peer_health.cpp
@@ -21,12 +21,15 @@
     if (answered) {
         known.silent_since = now;
         known.avoid_until = {};
+        known.proven_until = now + this->settings.proven_time;
     }
 }
 
 void peer_health::on_failed(const host_id& peer, monotonic_time now)
 {
-    this->peers[peer].avoid_until = now + this->settings.avoid_failed;
+    auto& known = this->peers[peer];
+    known.avoid_until = now + this->settings.avoid_failed;
+    known.proven_until = {};
 }
 
 bool peer_health::is_usable(const host_id& peer, monotonic_time now) const
@@ -40,10 +43,18 @@
     return now >= known.avoid_until && !silent;
 }
 
+bool peer_health::is_proven(const host_id& peer, monotonic_time now) const
+{
+    const auto found = this->peers.find(peer);
+    return found != this->peers.end() && now < found->second.proven_until &&
+           this->is_usable(peer, now);
+}
+
 void peer_health::on_tick(monotonic_time now)
 {
     std::erase_if(this->peers, [&](const auto& item) {
-        return item.second.pending == 0 && now >= item.second.avoid_until;
+        const auto& known = item.second;
+        return known.pending == 0 && now >= known.avoid_until && now >= known.proven_until;
     });
 }
 
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -298,7 +298,7 @@
         return out;
     }
     const auto now = monotonic_time::clock::now();
-    for (auto& name : order_peers(to.id.value, to.failure_domain, this->state.cluster)) {
+    for (auto& name : order_senders(to.id, to.failure_domain, this->state.cluster)) {
         const bool is_self = name == this->state.settings.name;
         if ((is_self && reachable) || out.size() == max_forward_tries) {
             return out;
@@ -310,6 +310,21 @@
     return out;
 }
 
+/// The hosts that may send for this one, those first that have done so lately.
+std::vector<host_id> request_runner::helpers(const caller_request& request) const
+{
+    const auto now = monotonic_time::clock::now();
+    const auto& peers = this->state.peers;
+    auto out = order_helpers(request.head.request_id, this->state.cluster);
+    std::erase_if(out, [&](const host_id& name) {
+        return name == this->state.settings.name || !peers.is_usable(name, now);
+    });
+    std::stable_partition(out.begin(), out.end(),
+                          [&](const host_id& name) { return peers.is_proven(name, now); });
+    out.resize(std::min(out.size(), max_forward_tries));
+    return out;
+}
+
 request_runner::choice request_runner::admit(const caller_request& request, target to)
 {
     const bool reachable = this->can_reach(to.id);
@@ -340,7 +355,7 @@
 request_runner::choice request_runner::pass_on(const caller_request& request, target to)
 {
     if (!request.forwarded) {
-        to.peers = this->preferred_senders(request, to, false);
+        to.peers = this->helpers(request);
         to.hops_left = 1;
         to.forwarded_for = this->state.path.is_lost() ? "no_server_path" : "server_unreachable";
     }
--- a/test/direct/peer_choice_test.cpp
+++ b/test/direct/peer_choice_test.cpp
@@ -1,5 +1,6 @@
 #include "figreach/direct/peer_choice.h"
 
+#include <map>
 #include <set>
 
 #include "../property.h"
@@ -19,6 +20,7 @@
     for (int i = 0; i < 12; ++i) {
         hosts.emplace_back(host_update{{.name = {"h" + std::to_string(i)},
                                         .lifetime = 1,
+                                        .processor_percent = i == 0 ? 40U : 10U,
                                         .failure_domain = {std::string(1, "abc"[i % 3])}}});
     }
     (void)out.apply(store_part::own, hosts, true, start);
@@ -32,13 +34,13 @@
 TEST(peer_choice_test, prefers_registered_hosts_in_the_domain_of_the_server)
 {
     auto cluster = make_cluster();
-    const auto before = order_peers("s1", {"b"}, cluster);
+    const auto before = order_senders({"s1"}, {"b"}, cluster);
     CHECK_EQUAL(12, before.size());
     for (std::size_t i = 0; i < 4; ++i) {
         STRCMP_EQUAL("b", cluster.find_host(before[i])->failure_domain.value.c_str());
     }
     (void)cluster.apply(store_part::own, {host_removal{before.front()}}, false, start);
-    auto after = order_peers("s1", {"b"}, cluster);
+    auto after = order_senders({"s1"}, {"b"}, cluster);
     CHECK_TRUE(after.back() == before.front());
     after.pop_back();
     CHECK_TRUE(std::equal(after.begin(), after.end(), before.begin() + 1));
@@ -49,7 +51,25 @@
     const auto cluster = make_cluster();
     std::set<host_id> first;
     for (int i = 0; i < 100; ++i) {
-        first.insert(order_peers("s" + std::to_string(i), {"a"}, cluster).front());
+        first.insert(order_senders({"s" + std::to_string(i)}, {"a"}, cluster).front());
     }
     CHECK_EQUAL(4, first.size());
 }
+
+/// Guards against hosts with little processor time that get as much of the others' requests as
+/// large ones.
+TEST(peer_choice_test, spreads_requests_by_processor_share)
+{
+    const auto cluster = make_cluster();
+    std::map<host_id, int> counts;
+    constexpr int requests = 3000;
+    for (int i = 0; i < requests; ++i) {
+        ++counts[order_helpers(std::to_string(i), cluster).front()];
+    }
+    CHECK_EQUAL(12, counts.size());
+    // h0 has 40 of 150 percent of a core.
+    CHECK_TRUE(counts[{"h0"}] > 700 && counts[{"h0"}] < 900);
+    for (const auto& [host, count] : counts) {
+        CHECK_TRUE(host.value == "h0" || (count > 130 && count < 270));
+    }
+}
