Pass requests on while new connections fail and kept ones live on

The path did not count as lost, since answers still arrived, and a server counted as reached by others only if their report was later than the own failure, which arrives after the mark of 0.5 s has ended at 64 hosts (report each 0.8 s).

New connections that fail to three servers (or all) are a state of their own, until one succeeds: idle connections are used, other requests go through other hosts. A single server counts as up for others if any host had an answer of it in the last 2 s. Pauses of the host itself, also short ones, do not count as silence of the servers.

server_path_loss_test: before, all 20 requests were refused.

--- a/include/figreach/direct/runtime/host_context.h
+++ b/include/figreach/direct/runtime/host_context.h
@@ -32,8 +32,10 @@
     /// Records whether the store answered a call made at `called_at`. Logs when the store becomes
     /// unreachable or reachable again.
     void record_store_call(bool answered, monotonic_time called_at);
-    /// Records a new connection to a backend server or an answer from one.
-    void record_server_reached();
+    /// Records a new connection to a backend server.
+    void record_server_connected();
+    /// Records an answer of a backend server.
+    void record_server_answer();
     /// Records that no connection to a backend server could be made. If the path is lost by that,
     /// connections to servers are reset: they may be silent for good.
     void record_server_unreachable(const backend_server_id& server);
--- a/include/figreach/direct/runtime/request_runner.h
+++ b/include/figreach/direct/runtime/request_runner.h
@@ -97,7 +97,7 @@
     [[nodiscard]] std::vector<host_id> preferred_senders(const caller_request& request,
                                                          const target& to, bool reachable) const;
     [[nodiscard]] std::vector<host_id> helpers(const caller_request& request) const;
-    [[nodiscard]] bool can_reach(const backend_server_id& id) const;
+    [[nodiscard]] bool can_reach(const target& to) const;
     [[nodiscard]] bool is_reached_by_others(const backend_server_id& id) const;
     [[nodiscard]] host_refusal refuse_without_path() const;
     [[nodiscard]] std::uint32_t max_connections_per_server() const;
--- a/include/figreach/direct/server_load_tracker.h
+++ b/include/figreach/direct/server_load_tracker.h
@@ -14,6 +14,7 @@
 
 struct load_tracker_settings {
     milliseconds report_max_age{1000};      ///< age from which a load report is ignored
+    milliseconds answered_lately{2000};     ///< age of a report that shows that a server is up
     milliseconds report_propagation{300};   ///< time until other hosts' reports arrive
     milliseconds avoid_unreachable{500};    ///< after a failed connection attempt
     milliseconds assumed_service_time{100}; ///< until the first answer
@@ -48,7 +49,6 @@
     std::optional<milliseconds> service_time; ///< moving average without a queue
     double failures = 0.0;                    ///< recent failures, exponentially decayed
     monotonic_time failed_at{};
-    monotonic_time unreachable_at{};
     monotonic_time unreachable_until{};
     std::optional<monotonic_time> cold_sent_at; ///< last send while the server was cold
 };
@@ -89,8 +89,8 @@
     [[nodiscard]] double cost(const backend_server_id& id, std::uint32_t slots,
                               monotonic_time now) const;
     [[nodiscard]] bool is_reachable(const backend_server_id& id, monotonic_time now) const;
-    /// Whether the server has answered some host since this host could not connect to it.
-    [[nodiscard]] bool answered_since_unreachable(const backend_server_id& id) const;
+    /// Whether the server has answered this host or another one within the last moments.
+    [[nodiscard]] bool answered_lately(const backend_server_id& id, monotonic_time now) const;
 
 private:
     void update_service_time(const backend_server_id& id, nanoseconds latency, double slowdown);
--- a/include/figreach/runtime/connection_pool.h
+++ b/include/figreach/runtime/connection_pool.h
@@ -41,6 +41,8 @@
     /// As take(), but returns null instead of throwing.
     boost::asio::awaitable<std::unique_ptr<upstream_connection>>
     try_take(const std::string& address, monotonic_time deadline);
+    /// Whether there are idle connections, which may have been closed by the peer.
+    [[nodiscard]] bool has_idle(const std::string& address) const;
     /// Resets all idle connections.
     void clear();
     /// Returns a connection to the pool. Its last answer must have been read completely.
--- a/src/direct/runtime/host_context.cpp
+++ b/src/direct/runtime/host_context.cpp
@@ -84,11 +84,23 @@
     this->cluster_changed.notify();
 }
 
-void host_context::record_server_reached()
+void host_context::record_server_connected()
 {
     const auto now = monotonic_time::clock::now();
     const auto since = this->path.last_reached();
-    if (this->path.on_reached(now)) {
+    if (this->path.connects_fail()) {
+        this->log_server_path("connects", now - since);
+    }
+    if (this->path.on_connected(now)) {
+        this->log_server_path("regained", now - since);
+    }
+}
+
+void host_context::record_server_answer()
+{
+    const auto now = monotonic_time::clock::now();
+    const auto since = this->path.last_reached();
+    if (this->path.on_answer(now)) {
         this->log_server_path("regained", now - since);
     }
 }
@@ -97,7 +109,12 @@
 {
     const auto now = monotonic_time::clock::now();
     const auto known = this->cluster.servers_for_new_work().size();
-    if (this->path.on_failed(server, known, now)) {
+    const bool connected = !this->path.connects_fail();
+    const bool is_lost = this->path.on_failed(server, known, now);
+    if (connected && this->path.connects_fail()) {
+        this->log_server_path("connects_fail", now - this->path.last_reached());
+    }
+    if (is_lost) {
         this->log_server_path("lost", now - this->path.last_reached());
         this->server_connections.clear();
         for (const auto& one : this->repeatable_exchanges) {
--- a/src/direct/runtime/leadership.cpp
+++ b/src/direct/runtime/leadership.cpp
@@ -481,7 +481,7 @@
     this->state.path.on_finished();
     this->state.pending_grants -= is_grant ? 1 : 0;
     if (std::holds_alternative<http_response>(result)) {
-        this->state.record_server_reached();
+        this->state.record_server_answer();
     }
     else if (std::get<call_failure>(result) == call_failure::not_sent) {
         this->state.record_server_unreachable(action.server);
--- a/src/direct/runtime/path_prober.cpp
+++ b/src/direct/runtime/path_prober.cpp
@@ -58,7 +58,7 @@
         this->state.record_server_unreachable(server);
     }
     else {
-        this->state.record_server_reached();
+        this->state.record_server_connected();
     }
 }
 
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -239,17 +239,17 @@
         if (is_other || this->tried_servers.contains(id)) {
             continue;
         }
-        if (!this->can_reach(id)) {
+        auto to = this->make_target(*record);
+        if (!this->can_reach(to)) {
             if (this->is_reached_by_others(id)) {
-                unreachable = this->make_target(*record);
+                unreachable = std::move(to);
             }
             continue;
         }
         // Which host sends to a limited server is decided only for the one that is chosen.
         const auto held_off = this->state.rate_limits.held_off_for(id, now);
-        auto admitted = this->state.rate_limits.rate_of(id)
-                            ? choice{this->make_target(*record)}
-                            : this->admit_load(this->make_target(*record));
+        auto admitted = this->state.rate_limits.rate_of(id) ? choice{std::move(to)}
+                                                            : this->admit_load(std::move(to));
         if (held_off > milliseconds{0}) {
             admitted = host_refusal{.kind = error_kind::server_at_limit, .retry_after = held_off};
         }
@@ -282,10 +282,13 @@
 }
 
 /// Whether this host may be able to connect to the server.
-bool request_runner::can_reach(const backend_server_id& id) const
+bool request_runner::can_reach(const target& to) const
 {
-    return !this->state.path.is_lost() &&
-           this->state.load_tracker.is_reachable(id, monotonic_time::clock::now());
+    const auto now = monotonic_time::clock::now();
+    const auto& path = this->state.path;
+    const bool may_connect =
+        !path.connects_fail() && this->state.load_tracker.is_reachable(to.id, now);
+    return !path.is_lost() && (may_connect || this->state.server_connections.has_idle(to.address));
 }
 
 /// The hosts that send to a server that limits its rate, up to this one if it reaches the server.
@@ -327,7 +330,7 @@
 
 request_runner::choice request_runner::admit(const caller_request& request, target to)
 {
-    const bool reachable = this->can_reach(to.id);
+    const bool reachable = this->can_reach(to);
     if (!reachable && !this->is_reached_by_others(to.id)) {
         return host_refusal{.kind = error_kind::no_owner, .retry_after = no_owner_retry_delay};
     }
@@ -340,7 +343,9 @@
 /// Whether another host can probably connect to a server to which this host cannot.
 bool request_runner::is_reached_by_others(const backend_server_id& id) const
 {
-    return this->state.path.is_lost() || this->state.load_tracker.answered_since_unreachable(id);
+    const auto& path = this->state.path;
+    return path.is_lost() || path.connects_fail() ||
+           this->state.load_tracker.answered_lately(id, monotonic_time::clock::now());
 }
 
 /// The refusal if neither this host nor a peer can send.
@@ -357,7 +362,9 @@
     if (!request.forwarded) {
         to.peers = this->helpers(request);
         to.hops_left = 1;
-        to.forwarded_for = this->state.path.is_lost() ? "no_server_path" : "server_unreachable";
+        to.forwarded_for = this->state.path.is_lost()         ? "no_server_path"
+                           : this->state.path.connects_fail() ? "no_new_connections"
+                                                              : "server_unreachable";
     }
     if (to.peers.empty()) {
         return this->refuse_without_path();
@@ -423,7 +430,7 @@
     auto connection = co_await this->state.server_connections.try_take(to.address, connect_until);
     const auto now = monotonic_time::clock::now();
     if (connection && !connection->reused) {
-        this->state.record_server_reached();
+        this->state.record_server_connected();
     }
     if (!connection) {
         load_tracker.on_finished(to.id, send_outcome::unreachable, {}, std::nullopt, now);
@@ -607,7 +614,7 @@
     };
     if (result.outcome == exchange_outcome::answered ||
         result.outcome == exchange_outcome::not_run) {
-        this->state.record_server_reached();
+        this->state.record_server_answer();
         this->state.record_rate_limit(to.id, result.head, now);
     }
     switch (result.outcome) {
--- a/src/direct/server_load_tracker.cpp
+++ b/src/direct/server_load_tracker.cpp
@@ -75,7 +75,6 @@
         this->add_service_time(id, latency);
     }
     if (outcome == send_outcome::unreachable) {
-        view.unreachable_at = now;
         view.unreachable_until = now + this->settings.avoid_unreachable;
     }
     if (outcome == send_outcome::failed || outcome == send_outcome::unreachable) {
@@ -269,10 +268,10 @@
     return now >= this->view(id).unreachable_until;
 }
 
-bool server_load_tracker::answered_since_unreachable(const backend_server_id& id) const
+bool server_load_tracker::answered_lately(const backend_server_id& id, monotonic_time now) const
 {
     const auto& known = this->view(id);
-    return known.report && known.reported_at > known.unreachable_at;
+    return known.report && now - known.reported_at < this->settings.answered_lately;
 }
 
 std::optional<monotonic_time> next_cold_send(const backend_server_id& id,
--- a/src/direct/server_path.cpp
+++ b/src/direct/server_path.cpp
@@ -6,7 +6,7 @@
 namespace figreach::direct {
 
 server_path::server_path(server_path_settings settings_, monotonic_time now)
-    : settings{settings_}, reached_at{now}, ticked_at{now}
+    : settings{settings_}, reached_at{now}, ticked_at{now}, min_failed{settings_.min_failed_servers}
 {
 }
 
@@ -20,10 +20,15 @@
     this->pending -= std::min(this->pending, 1U);
 }
 
-bool server_path::on_reached(monotonic_time now)
+bool server_path::on_connected(monotonic_time now)
 {
-    this->reached_at = now;
     this->failed.clear();
+    return this->on_answer(now);
+}
+
+bool server_path::on_answer(monotonic_time now)
+{
+    this->reached_at = now;
     return std::exchange(this->lost, false);
 }
 
@@ -31,10 +36,10 @@
                             monotonic_time now)
 {
     this->failed.insert(server);
-    const auto enough =
+    this->min_failed =
         std::min(this->settings.min_failed_servers, std::max<std::size_t>(server_count, 1));
     const bool is_lost =
-        this->failed.size() >= enough && now - this->reached_at >= this->settings.max_silence;
+        this->connects_fail() && now - this->reached_at >= this->settings.max_silence;
     return !std::exchange(this->lost, this->lost || is_lost) && is_lost;
 }
 
@@ -45,7 +50,6 @@
     if (gap > this->settings.max_tick_gap && !this->lost) {
         // Answers that arrived meanwhile have not been read yet.
         this->reached_at = std::min(now, this->reached_at + gap);
-        this->failed.clear();
     }
 }
 
@@ -54,6 +58,11 @@
     return this->lost;
 }
 
+bool server_path::connects_fail() const
+{
+    return this->failed.size() >= this->min_failed;
+}
+
 monotonic_time server_path::last_reached() const
 {
     return this->reached_at;
@@ -68,7 +77,8 @@
 {
     const bool suspect = this->lost || this->pending > 0 || !this->failed.empty();
     const bool due = !this->probed_at || now - *this->probed_at >= this->settings.probe_interval;
-    if (!suspect || !due || now - this->reached_at < this->settings.max_silence) {
+    const bool silent = now - this->reached_at >= this->settings.max_silence;
+    if (!suspect || !due || !(silent || this->connects_fail())) {
         return false;
     }
     this->probed_at = now;
--- a/src/runtime/connection_pool.cpp
+++ b/src/runtime/connection_pool.cpp
@@ -91,6 +91,12 @@
     }
 }
 
+bool connection_pool::has_idle(const std::string& address) const
+{
+    const auto found = this->idle.find(address);
+    return found != this->idle.end() && !found->second.empty();
+}
+
 void connection_pool::clear()
 {
     for (auto& [address, connections] : std::exchange(this->idle, {})) {
--- a/test/direct/path_fixture.h
+++ b/test/direct/path_fixture.h
@@ -139,12 +139,17 @@
     }
 
     /// Makes the host find that connections to several servers have failed for a while.
-    void lose_server_path()
+    void lose_server_path() { this->fail_connections(seconds{1}); }
+
+    /// Makes the host find that new connections fail, while a server has just answered.
+    void lose_new_connections() { this->fail_connections(seconds{0}); }
+
+    void fail_connections(milliseconds silence)
     {
         std::promise<void> done;
-        asio::post(this->io, [this, &done] {
+        asio::post(this->io, [this, &done, silence] {
             const auto now = monotonic_time::clock::now();
-            this->state.path = server_path{{}, now - seconds{1}};
+            this->state.path = server_path{{}, now - silence};
             for (const auto* server : {"a", "b", "c"}) {
                 this->state.record_server_unreachable({server});
             }
--- a/test/direct/server_path_loss_test.cpp
+++ b/test/direct/server_path_loss_test.cpp
@@ -62,6 +62,21 @@
     }
 }
 
+/// Guards against refusing requests while new connections to servers fail and kept ones live on, so
+/// that the path does not count as lost.
+TEST(server_path_loss_test, callers_are_served_through_other_hosts_while_new_connections_fail)
+{
+    scripted_server server{std::vector<std::string>(callers, closing("plan"))};
+    const fixture_host own{.name = {"h1"}, .peer_address = local_address(free_port())};
+    const fixture_host other{.name = {"h2"}, .peer_address = local_address(free_port())};
+    path_fixture cut{dead_address(), own, {own, other}};
+    path_fixture second{server.address(), other, {own, other}};
+    cut.lose_new_connections();
+    for (std::size_t i = 0; i < callers; ++i) {
+        CHECK_TRUE(cut.exchange(order_one).starts_with("HTTP/1.1 200"));
+    }
+}
+
 /// Guards against requests that run although their caller was told that they did not, or that run
 /// twice, when the host that sends for another one is lost.
 TEST(server_path_loss_test, a_request_lost_with_the_other_host_is_not_repeated_unless_it_may_be)
--- a/test/request_attempts_test.cpp
+++ b/test/request_attempts_test.cpp
@@ -222,9 +222,8 @@
 {
     retry_budget budget{{.percent = 0, .max_retries = 0}};
     const auto last_action = [&budget](const std::vector<attempt_event>& events) {
-        const attempt_facts facts{.divided_by_key = false,
-                                  .arrival = start,
-                                  .deadline = start + seconds{10}};
+        const attempt_facts facts{
+            .divided_by_key = false, .arrival = start, .deadline = start + seconds{10}};
         request_attempts attempts{{}, facts, budget, 1};
         attempt_action out = no_action{};
         for (const auto& event : events) {
@@ -233,6 +232,7 @@
         return text_of(out);
     };
     STRCMP_EQUAL("look up", last_action({here, not_sent{}}).c_str());
-    STRCMP_EQUAL("server_refused",
-                 last_action({here, sending{}, refused_not_run{error_kind::server_refused}}).c_str());
+    STRCMP_EQUAL(
+        "server_refused",
+        last_action({here, sending{}, refused_not_run{error_kind::server_refused}}).c_str());
 }
