--- a/src/direct/peer_choice.cpp
+++ b/src/direct/peer_choice.cpp
@@ -33,9 +33,9 @@
         const bool is_near =
             domain != nullptr && host != nullptr && host->failure_domain == *domain;
         const auto processor = host != nullptr ? host->processor_percent : 1U;
-        ranked.push_back(
-            {.rank = {cluster.is_registered(name), is_near, weighted_hash(item, name, processor)},
-             .name = std::move(name)});
+        const std::tuple rank{cluster.is_registered(name), is_near,
+                              weighted_hash(item, name, processor)};
+        ranked.push_back({.rank = rank, .name = std::move(name)});
     }
     std::sort(ranked.begin(), ranked.end(),
               [](const auto& left, const auto& right) { return left.rank > right.rank; });
