--- a/test/direct/leadership_test.cpp
+++ b/test/direct/leadership_test.cpp
@@ -62,10 +62,10 @@
 TEST_GROUP(leadership_test){};
 
 struct path_row {
-    const char* name;
-    bool lost;                       ///< whether the host has lost its path to the servers
+    const char* name = "";
+    bool lost = false;               ///< whether the host has lost its path to the servers
     std::optional<milliseconds> age; ///< of the latest answer of a server to another host
-    bool may_lead;
+    bool may_lead = true;
 };
 
 const path_row path_rows[] = {
--- a/test/direct/peer_choice_test.cpp
+++ b/test/direct/peer_choice_test.cpp
@@ -16,8 +16,10 @@
 cluster_state make_cluster()
 {
     cluster_state out{{}};
+    constexpr int count = 12;
     std::vector<item_update> hosts;
-    for (int i = 0; i < 12; ++i) {
+    hosts.reserve(count);
+    for (int i = 0; i < count; ++i) {
         hosts.emplace_back(host_update{{.name = {"h" + std::to_string(i)},
                                         .lifetime = 1,
                                         .processor_percent = i == 0 ? 40U : 10U,
--- a/test/direct/server_limit_test.cpp
+++ b/test/direct/server_limit_test.cpp
@@ -49,6 +49,7 @@
             names.push_back({.name = {name}, .peer_address = local_address(free_port())});
         }
         std::vector<std::unique_ptr<path_fixture>> hosts;
+        hosts.reserve(names.size());
         for (const auto& one : names) {
             hosts.push_back(std::make_unique<path_fixture>(server.address(), one, names));
         }
