Look error kinds up by name in one place, and list servers only when they are probed

forwarding and relay_outcome each searched the table of errors. Three tests made the same three hosts. No behaviour changes.

--- a/include/figreach/direct/runtime/path_prober.h
+++ b/include/figreach/direct/runtime/path_prober.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <string>
-#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -20,6 +19,7 @@
 
 private:
     boost::asio::awaitable<void> run();
+    void start_probes();
     boost::asio::awaitable<void> probe(backend_server_id server, std::string address);
 
     host_context& state;
--- a/include/figreach/error_kind.h
+++ b/include/figreach/error_kind.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string_view>
 
@@ -76,6 +77,8 @@
 [[nodiscard]] const error_answer& answer_of(error_kind kind);
 
 [[nodiscard]] std::string_view name_of(error_kind kind);
+/// The kind with this name; empty if there is none.
+[[nodiscard]] std::optional<error_kind> find_error_kind(std::string_view name);
 [[nodiscard]] std::string_view name_of(run_state state);
 
 } // namespace figreach
--- a/src/direct/runtime/forwarding.cpp
+++ b/src/direct/runtime/forwarding.cpp
@@ -39,14 +39,6 @@
     return failed == std::errc{} ? std::min(out, max) : 0;
 }
 
-error_kind kind_of(const std::string& name)
-{
-    const auto rows = error_table();
-    const auto found =
-        std::find_if(rows.begin(), rows.end(), [&](const auto& row) { return row.name == name; });
-    return found != rows.end() ? found->kind : error_kind::outcome_unknown;
-}
-
 } // namespace
 
 http_request encode_forwarded(const caller_request& request, const forwarding_head& head,
@@ -109,7 +101,9 @@
     const auto retry_after =
         bounded_number(take_field(answer, retry_after_field), max_retry_after_ms);
     if (!kind.empty()) {
-        out.refusal = host_refusal{.kind = kind_of(kind), .retry_after = milliseconds{retry_after}};
+        out.refusal =
+            host_refusal{.kind = find_error_kind(kind).value_or(error_kind::outcome_unknown),
+                         .retry_after = milliseconds{retry_after}};
     }
     return out;
 }
--- a/src/direct/runtime/path_prober.cpp
+++ b/src/direct/runtime/path_prober.cpp
@@ -35,19 +35,22 @@
     for (;;) {
         const auto now = monotonic_time::clock::now();
         this->state.path.on_tick(now);
-        const auto servers = this->state.cluster.servers_for_new_work();
-        if (!servers.empty() && this->state.path.should_probe(now)) {
-            for (std::size_t i = 0; i < probes_at_once; ++i) {
-                const auto& entry =
-                    servers[next_random(this->state.random_state) % servers.size()]->entry;
-                asio::co_spawn(this->state.io, this->probe(entry.id, entry.address),
-                               asio::detached);
-            }
+        if (this->state.path.should_probe(now)) {
+            this->start_probes();
         }
         co_await sleep_for(this->state.io, tick_interval);
     }
 }
 
+void path_prober::start_probes()
+{
+    const auto servers = this->state.cluster.servers_for_new_work();
+    for (std::size_t i = 0; i < probes_at_once && !servers.empty(); ++i) {
+        const auto& entry = servers[next_random(this->state.random_state) % servers.size()]->entry;
+        asio::co_spawn(this->state.io, this->probe(entry.id, entry.address), asio::detached);
+    }
+}
+
 asio::awaitable<void> path_prober::probe(backend_server_id server, std::string address)
 {
     boost::beast::tcp_stream stream{this->state.io};
--- a/src/error_kind.cpp
+++ b/src/error_kind.cpp
@@ -1,5 +1,6 @@
 #include "figreach/error_kind.h"
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 
@@ -120,6 +121,13 @@
     return answer_of(kind).name;
 }
 
+std::optional<error_kind> find_error_kind(std::string_view name)
+{
+    const auto found =
+        std::find_if(table.begin(), table.end(), [&](const auto& row) { return row.name == name; });
+    return found != table.end() ? std::optional{found->kind} : std::nullopt;
+}
+
 std::string_view name_of(run_state state)
 {
     switch (state) {
--- a/src/runtime/relay_outcome.cpp
+++ b/src/runtime/relay_outcome.cpp
@@ -12,13 +12,10 @@
 /// name is unknown or does not mean that the request was not run.
 error_kind refused_kind(const std::string& name)
 {
-    for (const auto& row : error_table()) {
-        const bool plain = row.http_status != 0 && row.ran == run_state::not_run;
-        if (plain && row.name == name) {
-            return row.kind;
-        }
-    }
-    return error_kind::server_refused;
+    const auto kind = find_error_kind(name);
+    const bool plain =
+        kind && answer_of(*kind).http_status != 0 && answer_of(*kind).ran == run_state::not_run;
+    return plain ? *kind : error_kind::server_refused;
 }
 
 } // namespace
--- a/test/direct/path_fixture.h
+++ b/test/direct/path_fixture.h
@@ -91,6 +91,16 @@
     std::string peer_address = "127.0.0.1:0";
 };
 
+/// Three hosts that can reach each other.
+inline std::vector<fixture_host> three_hosts()
+{
+    std::vector<fixture_host> out;
+    for (const auto* name : {"h1", "h2", "h3"}) {
+        out.push_back({.name = {name}, .peer_address = local_address(free_port())});
+    }
+    return out;
+}
+
 /// The request path of an entry host with a preset cluster state.
 class path_fixture {
 public:
--- a/test/direct/server_limit_test.cpp
+++ b/test/direct/server_limit_test.cpp
@@ -44,10 +44,7 @@
 {
     for (const auto& row : limit_rows) {
         scripted_server server{std::vector<std::string>(3 * requests_per_host, limited(row.limit))};
-        std::vector<fixture_host> names;
-        for (const auto* name : {"h1", "h2", "h3"}) {
-            names.push_back({.name = {name}, .peer_address = local_address(free_port())});
-        }
+        const auto names = three_hosts();
         std::vector<std::unique_ptr<path_fixture>> hosts;
         hosts.reserve(names.size());
         for (const auto& one : names) {
@@ -73,10 +70,7 @@
 {
     for (const auto* down : {"h1", "h2", "h3"}) {
         scripted_server server{std::vector<std::string>(10, limited("1000"))};
-        std::vector<fixture_host> names;
-        for (const auto* name : {"h1", "h2", "h3"}) {
-            names.push_back({.name = {name}, .peer_address = local_address(free_port())});
-        }
+        const auto names = three_hosts();
         const auto& up = names[std::string_view{down} == "h1" ? 1 : 0];
         path_fixture host{server.address(), up, {names[0], names[1], names[2]}};
         for (int i = 0; i < 5; ++i) {
--- a/test/direct/server_path_loss_test.cpp
+++ b/test/direct/server_path_loss_test.cpp
@@ -42,10 +42,7 @@
 {
     for (const auto& row : cut_rows) {
         scripted_server server{std::vector<std::string>(2 * callers, closing("plan"))};
-        std::vector<fixture_host> names;
-        for (const auto* name : {"h1", "h2", "h3"}) {
-            names.push_back({.name = {name}, .peer_address = local_address(free_port())});
-        }
+        const auto names = three_hosts();
         path_fixture cut{dead_address(), names[0], names};
         path_fixture second{row.other_is_cut ? dead_address() : server.address(), names[1], names};
         path_fixture third{server.address(), names[2], names};
