Log the era of the store, and terms and fences with orders

Two servers that hold a key can come from a store that was restored from a copy, from leaders in a row, or from late orders. The logs did not tell these apart: no line named the era of the store (Store-Era), grants and releases had neither term nor fence, and a leader did not say which version of a table it goes on from.

New: the line store_era when the store names a later era, fence and term in grant and release, and key_table_loaded. An era that cannot be read counts as none. No decision depends on it yet.

--- a/include/figreach/direct/runtime/host_context.h
+++ b/include/figreach/direct/runtime/host_context.h
@@ -16,6 +16,7 @@
 #include "figreach/direct/server_load_tracker.h"
 #include "figreach/direct/server_path.h"
 #include "figreach/direct/server_rate_limits.h"
+#include "figreach/direct/store_revision.h"
 #include "figreach/retry_budget.h"
 #include "figreach/runtime/connection_pool.h"
 #include "figreach/runtime/metrics.h"
@@ -32,6 +33,8 @@
     /// Records whether the store answered a call made at `called_at`. Logs when the store becomes
     /// unreachable or reachable again.
     void record_store_call(bool answered, monotonic_time called_at);
+    /// Logs a later era of the store.
+    void record_store_era(store_era era);
     /// Records a new connection to a backend server.
     void record_server_connected();
     /// Records an answer of a backend server.
@@ -74,6 +77,7 @@
     peer_health peers;
     std::map<service_id, retry_budget> retry_budgets;
     std::uint64_t random_state;
+    std::optional<store_era> known_era; ///< latest era of the store
     bool store_reachable = true;
     monotonic_time store_unreachable_since{}; ///< start of the first unanswered call
     bool stopping = false;
--- a/src/direct/runtime/host_context.cpp
+++ b/src/direct/runtime/host_context.cpp
@@ -22,6 +22,11 @@
 /// by more than this.
 constexpr milliseconds report_delay{300};
 
+std::string era_text(store_era era)
+{
+    return std::to_string(static_cast<std::uint64_t>(era));
+}
+
 std::string rate_text(std::optional<double> rate)
 {
     return rate ? std::to_string(*rate) : "none";
@@ -53,7 +58,7 @@
       metrics_page{metrics_page_},
       requests{metrics_page_.add_request_thread()},
       lifetime{start_time_ms()},
-      store{io_, settings_.store_address},
+      store{io_, settings_.store_address, [this](store_era era) { this->record_store_era(era); }},
       cluster{directory_settings{.min_outage = absence_reports * settings_.report_interval}},
       cluster_changed{io_},
       load_tracker{load_tracker_settings{}},
@@ -84,6 +89,15 @@
     this->cluster_changed.notify();
 }
 
+void host_context::record_store_era(store_era era)
+{
+    log_event(log_level::warn, "store_era",
+              {{"era", era_text(era)},
+               {"former", this->known_era ? era_text(*this->known_era) : "none"},
+               {"leads", this->leads ? "true" : "false"}});
+    this->known_era = era;
+}
+
 void host_context::record_server_connected()
 {
     const auto now = monotonic_time::clock::now();
--- a/src/direct/runtime/leadership.cpp
+++ b/src/direct/runtime/leadership.cpp
@@ -61,6 +61,11 @@
     return std::to_string(span.first) + "-" + std::to_string(span.last);
 }
 
+std::uint64_t fence_of(const key_order& order)
+{
+    return std::visit([](const auto& one) { return one.fence; }, order);
+}
+
 } // namespace
 
 monotonic_time time_with_suspension()
@@ -406,6 +411,11 @@
             co_return;
         }
     }
+    log_event(log_level::info, "key_table_loaded",
+              {{"service", service.value},
+               {"term", std::to_string(own->term)},
+               {"revision", std::to_string(item->revision)},
+               {"next_fence", is_new ? "none" : std::to_string(table->next_fence)}});
     key_grant_manager manager{own->manager_settings,
                               is_new ? make_key_table(service) : std::move(*table),
                               own->former_orders_end, time_with_suspension()};
@@ -492,6 +502,8 @@
         log_event(log_level::info, is_release ? "release" : "grant",
                   {{"server", action.server.value},
                    {"keys", describe(action.order)},
+                   {"fence", std::to_string(fence_of(action.order))},
+                   {"term", std::to_string(own->term)},
                    {"ending", name_of(answer.outcome)}});
     }
     const auto managed = own->services.find(service);
--- a/test/platform/store_codec_test.cpp
+++ b/test/platform/store_codec_test.cpp
@@ -33,8 +33,37 @@
 
 } // namespace
 
+struct era_row {
+    const char* name;
+    const char* field; ///< null if absent
+    std::optional<store_era> era;
+};
+
+const era_row era_rows[] = {
+    {"a number", "3", store_era{3}},
+    {"the first one", "0", store_era{0}},
+    {"absent", nullptr, std::nullopt},
+    {"empty", "", std::nullopt},
+    {"negative", "-1", std::nullopt},
+    {"a fraction", "1.5", std::nullopt},
+    {"text after it", "3a", std::nullopt},
+    {"larger than any", "1000001", std::nullopt},
+    {"too many digits", "99999999999999999999", std::nullopt},
+};
+
 TEST_GROUP(store_codec_test){};
 
+TEST(store_codec_test, reads_the_era_of_the_store)
+{
+    for (const auto& row : era_rows) {
+        boost::beast::http::fields fields;
+        if (row.field != nullptr) {
+            fields.set("Store-Era", row.field);
+        }
+        CHECK_TRUE_TEXT(decode_store_era(fields) == row.era, row.name);
+    }
+}
+
 TEST(store_codec_test, reads_items)
 {
     const auto read = decode_item(item);
