--- a/include/figreach/direct/runtime/leadership.h
+++ b/include/figreach/direct/runtime/leadership.h
@@ -95,8 +95,6 @@
     [[nodiscard]] milliseconds campaign_delay() const;
     [[nodiscard]] std::optional<std::vector<host_id>>
     possible_former_leaders(const leader_term& former) const;
-    [[nodiscard]] monotonic_time compute_former_orders_end(const leader_term& former,
-                                                           monotonic_time now) const;
     [[nodiscard]] grant_manager_settings current_settings() const;
     void step_down(const std::shared_ptr<term_state>& own, const char* reason);
     void update_former_orders_end(term_state& own, monotonic_time now);
--- a/src/direct/runtime/leadership.cpp
+++ b/src/direct/runtime/leadership.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "figreach/direct/takeover.h"
 #include "figreach/key_hash.h"
 #include "figreach/runtime/log.h"
 #include "order_codec.h"
@@ -22,10 +23,6 @@
 constexpr milliseconds lease_duration{1500};
 constexpr milliseconds lease_renewal_interval{400};
 constexpr milliseconds call_timeout{500};
-/// While the store does not answer, the leader keeps renewing grants for this long after its lease
-/// expired, so that store outages do not revoke keys. A successor waits this long if an owner does
-/// not answer.
-constexpr milliseconds outage_authority{9000};
 constexpr milliseconds tick_interval{20};
 constexpr milliseconds idle_poll_interval{100};
 /// Delay between successive candidates.
@@ -47,14 +44,6 @@
     return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
 }
 
-/// Maximum time from the decision to grant keys for `hold` until the grant expires at the server.
-milliseconds max_order_duration(const grant_manager_settings& settings, milliseconds hold)
-{
-    constexpr std::int64_t whole_percent = 100;
-    return settings.order_timeout +
-           hold * (whole_percent + settings.clock_drift_percent) / whole_percent + settings.margin;
-}
-
 std::string describe(const key_order& order)
 {
     const auto span = std::visit([](const auto& one) { return one.keys; }, order);
@@ -257,7 +246,10 @@
     own->manager_settings = manager_settings;
     own->former_hold = std::max(former.hold, manager_settings.hold);
     own->authority_until = sent_at + lease_duration + outage_authority;
-    own->former_orders_end = this->compute_former_orders_end(former, time_with_suspension());
+    const bool was_self =
+        former.host == this->state.settings.name && former.host_lifetime == this->state.lifetime;
+    own->former_orders_end =
+        time_with_suspension() + former_orders_wait(former, was_self, manager_settings);
     own->former_leaders = this->possible_former_leaders(former);
     log_event(
         log_level::info, "lead_taken",
@@ -329,23 +321,6 @@
     return for_fleet({}, this->state.cluster.host_count(), this->state.settings.max_hold);
 }
 
-/// Returns the time at which the former leader's last grant has certainly expired.
-monotonic_time leadership::compute_former_orders_end(const leader_term& former,
-                                                     monotonic_time now) const
-{
-    if (former.host.empty()) {
-        return now;
-    }
-    const auto settings = this->current_settings();
-    const auto last_grant = max_order_duration(settings, std::max(former.hold, settings.hold));
-    // A leader that has ended may have handed over its term; only a recorded resignation, or this
-    // process having led itself, rules that out.
-    const bool was_self =
-        former.host == this->state.settings.name && former.host_lifetime == this->state.lifetime;
-    const bool ended = former.resigned || was_self;
-    return now + last_grant + (ended ? milliseconds{0} : outage_authority);
-}
-
 asio::awaitable<void> leadership::keep_lease(std::shared_ptr<term_state> own)
 {
     while (this->current_term == own) {
