Reproduce two owners of a key: a restored store, and a successor that resigns

Restored store (hypothesis 1): the simulation of grants keeps a copy of the store's contents for each step and goes back by up to 5 s.

The soak draws restores apart from the other faults, so that those of a seed stay the same.

--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -1,5 +1,7 @@
 #include "fault_plan.h"
 
+#include <algorithm>
+
 #include "figreach/retry_budget.h"
 
 namespace figreach::soak {
@@ -10,6 +12,35 @@
 constexpr std::uint64_t same_target_percent = 30;
 constexpr std::uint64_t same_kind_percent = 15;
 constexpr std::uint64_t max_targets = 64;
+/// All kinds but store_restored, which add_restores adds.
+constexpr auto drawn_kinds = static_cast<std::uint64_t>(fault_kind::kinds) - 1;
+constexpr std::uint64_t restore_seed_offset = 1U << 20U;
+
+fault_kind drawn_kind(std::uint64_t number)
+{
+    const bool is_after = number >= static_cast<std::uint64_t>(fault_kind::store_restored);
+    return static_cast<fault_kind>(number + (is_after ? 1 : 0));
+}
+
+/// Faults that are drawn on their own, so that the other faults of a seed stay the same.
+void add_restores(std::vector<planned_fault>& plan, const plan_settings& settings)
+{
+    std::uint64_t state = settings.seed + restore_seed_offset;
+    const auto draw = [&state](milliseconds below) {
+        return milliseconds{static_cast<std::int64_t>(next_random(state) %
+                                                      static_cast<std::uint64_t>(below.count()))};
+    };
+    auto at = settings.earliest_start + draw(settings.mean_restore_interval);
+    while (at < settings.latest_start) {
+        plan.push_back({.at = at,
+                        .kind = fault_kind::store_restored,
+                        .duration = settings.min_duration +
+                                    draw(settings.max_duration - settings.min_duration)});
+        at += draw(2 * settings.mean_restore_interval);
+    }
+    std::stable_sort(plan.begin(), plan.end(),
+                     [](const auto& left, const auto& right) { return left.at < right.at; });
+}
 
 } // namespace
 
@@ -40,6 +71,8 @@
         return "store_leases_lapsed";
     case fault_kind::store_history_dropped:
         return "store_history_dropped";
+    case fault_kind::store_restored:
+        return "store_restored";
     case fault_kind::server_crashed:
         return "server_crashed";
     case fault_kind::server_silent:
@@ -77,11 +110,10 @@
     std::vector<planned_fault> out;
     auto at = settings.earliest_start;
     while (at < settings.latest_start) {
-        planned_fault next{
-            .at = at,
-            .kind = static_cast<fault_kind>(draw(static_cast<std::uint64_t>(fault_kind::kinds))),
-            .target = static_cast<std::uint32_t>(draw(max_targets)),
-            .duration = settings.min_duration + milliseconds{draw(spread)}};
+        planned_fault next{.at = at,
+                           .kind = drawn_kind(draw(drawn_kinds)),
+                           .target = static_cast<std::uint32_t>(draw(max_targets)),
+                           .duration = settings.min_duration + milliseconds{draw(spread)}};
         if (!out.empty() && draw(percent) < same_target_percent) {
             next.target = out.back().target;
         }
@@ -91,6 +123,7 @@
         out.push_back(next);
         at += milliseconds{draw(2 * static_cast<std::uint64_t>(settings.mean_interval.count()))};
     }
+    add_restores(out, settings);
     return out;
 }
 
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -20,6 +20,7 @@
     store_answers_lost,    ///< some writes take effect without an answer, for `duration`
     store_leases_lapsed,   ///< all leases on keys of the hosts expire immediately
     store_history_dropped, ///< watches must restart from a new listing
+    store_restored,        ///< from a copy that is `duration` old
     server_crashed,        ///< restarted after `duration`
     server_silent,         ///< for `duration`
     server_left,           ///< shut down gracefully, then restarted
@@ -45,10 +46,11 @@
 
 struct plan_settings {
     std::uint64_t seed = 1;
-    milliseconds earliest_start{1500}; ///< no fault starts earlier
-    milliseconds latest_start{12000};  ///< no fault starts at this time or later
-    milliseconds mean_interval{350};   ///< between the starts of two faults, which may overlap
-    milliseconds min_duration{300};    ///< of faults that have a duration
+    milliseconds earliest_start{1500};        ///< no fault starts earlier
+    milliseconds latest_start{12000};         ///< no fault starts at this time or later
+    milliseconds mean_restore_interval{4000}; ///< between two restores of the store
+    milliseconds mean_interval{350}; ///< between the starts of two faults, which may overlap
+    milliseconds min_duration{300};  ///< of faults that have a duration
     milliseconds max_duration{4000};
 };
 
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -234,6 +234,7 @@
             ++next;
         }
         this->check_holders();
+        this->model.take_copy(now);
         co_await direct::sleep_for(this->io, check_interval);
     }
     this->end_all_faults();
@@ -284,7 +285,7 @@
     if (fault.kind <= fault_kind::host_cut_from_store) {
         co_await this->inject_host_fault(fault);
     }
-    else if (fault.kind <= fault_kind::store_history_dropped) {
+    else if (fault.kind <= fault_kind::store_restored) {
         co_await this->inject_store_fault(fault);
     }
     else if (fault.kind <= fault_kind::server_answers_lost) {
@@ -347,6 +348,11 @@
         this->model.drop_history();
         this->store.notify();
         co_return;
+    case fault_kind::store_restored:
+        // Nothing happens before the first copy is that old.
+        static_cast<void>(this->model.restore(fault.duration, monotonic_time::clock::now()));
+        this->store.notify();
+        co_return;
     case fault_kind::store_silent:
         faults.silent = true;
         break;
--- a/test/direct/key_grant_simulation.h
+++ b/test/direct/key_grant_simulation.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -10,6 +11,7 @@
 #include <vector>
 
 #include "figreach/direct/key_grant_manager.h"
+#include "figreach/direct/takeover.h"
 #include "figreach/retry_budget.h"
 
 namespace figreach::direct::test {
@@ -18,6 +20,7 @@
 inline constexpr std::uint32_t sampled_keys = 64;
 inline constexpr std::uint32_t keys_per_sample = key_count / sampled_keys;
 inline constexpr milliseconds simulation_step{10};
+inline constexpr milliseconds max_copy_age{5000}; ///< of copies that the store comes back from
 
 struct simulation_settings {
     std::uint64_t seed = 1;
@@ -30,6 +33,9 @@
     milliseconds longest_write{300}; ///< until a leader learns that its table is stored
     bool leaders_change = true;
     bool servers_restart = true;
+    bool store_restored = false;  ///< the store comes back from copies of itself
+    bool leaders_resign = false;  ///< leaders resign, also soon after they took over
+    milliseconds authority{1500}; ///< how long a leader without the store goes on
     milliseconds faults{20000};
     milliseconds calm{15000}; ///< duration after the fault phase
     bool wait_for_former_orders = true;
@@ -41,6 +47,9 @@
     std::uint64_t lifetime = 1;
     bool up = true;
     bool takes_keys = true;
+    /// Later leaders do not reach the server until `reached_again`.
+    std::size_t last_leader = std::numeric_limits<std::size_t>::max();
+    monotonic_time reached_again{};
     std::array<std::uint64_t, sampled_keys> highest_fence{};
     std::array<std::uint64_t, sampled_keys> fence{};
     std::array<monotonic_time, sampled_keys> until{};
@@ -61,8 +70,8 @@
         for (std::uint32_t i = 0; i < this->settings.servers; ++i) {
             this->servers.push_back({.name = "s" + std::to_string(i)});
         }
-        this->stored = make_key_table({"lessons"});
-        this->start_leader(this->now);
+        this->store.table = make_key_table({"lessons"});
+        this->start_leader();
     }
 
     void run()
@@ -71,6 +80,7 @@
         const auto end = faults_end + this->settings.calm;
         while (this->now < end) {
             this->faulty = this->now < faults_end;
+            this->copies.push_back(this->store);
             if (this->faulty) {
                 this->inject_faults();
             }
@@ -100,14 +110,28 @@
         }
         return out;
     }
-    [[nodiscard]] const key_table& table() const { return this->stored; }
+    /// Number of sampled keys that nobody has held for the last second.
+    [[nodiscard]] std::uint32_t unowned_for_a_second() const
+    {
+        return static_cast<std::uint32_t>(
+            std::count_if(this->last_held.begin(), this->last_held.end(),
+                          [this](auto at) { return this->now > at + seconds{1}; }));
+    }
+    [[nodiscard]] const key_table& table() const { return this->store.table; }
 
 private:
+    /// What the store holds.
+    struct contents {
+        key_table table;
+        std::int64_t revision = 1;
+        leader_term term;
+    };
     struct leader {
         std::uint64_t term = 0;
         std::int64_t revision = 0;
         std::unique_ptr<key_grant_manager> manager;
         monotonic_time authority_until = monotonic_time::max();
+        bool cut_from_store = false;              ///< its writes have no effect and get no answer
         std::optional<monotonic_time> written_at; ///< when it learns of its last write
     };
     struct pending_order {
@@ -138,32 +162,78 @@
             next_random(this->random_state) % static_cast<std::uint64_t>(most.count() + 1))};
     }
 
-    void start_leader(monotonic_time former_orders_end)
+    /// The time until grants of earlier leaders may last.
+    [[nodiscard]] monotonic_time former_orders_end() const
     {
-        ++this->term;
-        leader next{.term = this->term, .revision = this->revision};
-        next.manager = std::make_unique<key_grant_manager>(grant_manager_settings{}, this->stored,
-                                                           former_orders_end, this->now);
+        if (!this->settings.wait_for_former_orders) {
+            return this->now;
+        }
+        const auto usual = former_orders_wait(this->store.term, false, {});
+        const bool waits_for_authority = usual > outage_authority;
+        return this->now + usual -
+               (waits_for_authority ? outage_authority - this->settings.authority
+                                    : milliseconds{0});
+    }
+
+    void start_leader()
+    {
+        const auto wait_until = this->former_orders_end();
+        this->store.term = {.term = this->store.term.term + 1,
+                            .host = {"h" + std::to_string(this->leaders.size())},
+                            .hold = grant_manager_settings{}.hold};
+        leader next{.term = this->store.term.term, .revision = this->store.revision};
+        next.manager = std::make_unique<key_grant_manager>(
+            grant_manager_settings{}, this->store.table, wait_until, this->now);
         this->leaders.push_back(std::move(next));
     }
 
-    /// Partitions the current leader from the store. It continues for a while.
+    /// Partitions the current leader from the store. It continues for a while, and some servers may
+    /// be reached by it alone.
     void change_leader()
     {
-        constexpr milliseconds authority{1500};
-        const grant_manager_settings with;
-        this->leaders.back().authority_until = this->now + authority;
-        const auto last_order = with.order_timeout + with.hold * 102 / 100 + with.margin;
-        const auto former =
-            this->settings.wait_for_former_orders ? this->now + authority + last_order : this->now;
-        this->start_leader(former);
+        this->leaders.back().authority_until = this->now + this->settings.authority;
+        if (this->settings.leaders_resign) {
+            this->leaders.back().cut_from_store = true;
+            auto& server = this->servers.at(next_random(this->random_state) % this->servers.size());
+            server.last_leader = this->leaders.size() - 1;
+            server.reached_again = this->now + 2 * this->settings.authority;
+        }
+        this->start_leader();
+    }
+
+    /// The current leader stops sending orders and says so.
+    void resign()
+    {
+        auto& last = this->leaders.back();
+        if (last.term == this->store.term.term) {
+            last.authority_until = this->now;
+            this->store.term.resigned = true;
+            this->start_leader();
+        }
+    }
+
+    /// Goes back by up to 5 s. The leader notices after a while.
+    void restore_store()
+    {
+        const auto steps =
+            static_cast<std::size_t>(this->time_up_to(max_copy_age) / simulation_step);
+        if (steps < this->copies.size()) {
+            this->store = this->copies[this->copies.size() - 1 - steps];
+            this->copies.clear();
+        }
     }
 
     void inject_faults()
     {
+        if (this->settings.store_restored && this->chance(0.001)) {
+            this->restore_store();
+        }
         if (this->settings.leaders_change && this->chance(0.002)) {
             this->change_leader();
         }
+        if (this->settings.leaders_resign && this->chance(0.003)) {
+            this->resign();
+        }
         if (this->settings.servers_restart && this->chance(0.003)) {
             auto& server = this->servers.at(next_random(this->random_state) % this->servers.size());
             server = {.name = server.name,
@@ -185,6 +255,7 @@
             }
             server.up = true;
             server.takes_keys = true;
+            server.reached_again = this->now;
         }
     }
 
@@ -219,12 +290,15 @@
     /// A write takes effect if there is no newer leader and the known revision is current.
     void write(leader& own, const key_table& table)
     {
-        if (own.term != this->term || own.revision != this->revision) {
+        if (own.cut_from_store) {
+            return;
+        }
+        if (own.term != this->store.term.term || own.revision != this->store.revision) {
             own.authority_until = std::min(own.authority_until, this->now);
             return;
         }
-        this->stored = table;
-        own.revision = ++this->revision;
+        this->store.table = table;
+        own.revision = ++this->store.revision;
         own.written_at = this->now + this->time_up_to(this->settings.longest_write);
     }
 
@@ -233,7 +307,9 @@
         const auto server =
             std::find_if(this->servers.begin(), this->servers.end(),
                          [&](const auto& one) { return one.name == action.address; });
-        const bool lost = !server->up || (this->faulty && this->chance(this->settings.lost_orders));
+        const bool cut = index > server->last_leader && this->now < server->reached_again;
+        const bool lost =
+            !server->up || cut || (this->faulty && this->chance(this->settings.lost_orders));
         if (lost) {
             this->answer_later(index, action.call, {.outcome = order_outcome::no_answer},
                                action.timeout);
@@ -372,7 +448,9 @@
     void check()
     {
         for (std::uint32_t sample = 0; sample < sampled_keys; ++sample) {
-            this->double_owners += this->holders(sample) > 1 ? 1U : 0U;
+            const auto count = this->holders(sample);
+            this->double_owners += count > 1 ? 1U : 0U;
+            this->last_held.at(sample) = count > 0 ? this->now : this->last_held.at(sample);
         }
     }
 
@@ -385,9 +463,9 @@
     std::vector<pending_order> pending_orders;
     std::vector<pending_answer> answers;
     observed_loads loads{.recent = key_loads{{}}, .usual = key_loads{{}}};
-    key_table stored;
-    std::int64_t revision = 1;
-    std::uint64_t term = 0;
+    contents store;
+    std::array<monotonic_time, sampled_keys> last_held{};
+    std::vector<contents> copies; ///< one of each step since the last restore
 };
 
 } // namespace figreach::direct::test
--- a/test/soak/standin_test.cpp
+++ b/test/soak/standin_test.cpp
@@ -82,6 +82,47 @@
     CHECK_TRUE(store.changes_after("a", store.revision()).has_value());
 }
 
+struct restored_row {
+    const char* key;
+    bool kept; ///< whether the key written after the copy is there in the new era
+};
+
+const restored_row restored_rows[] = {
+    {"figreach/term", false},
+    {"op/config", true},
+};
+
+TEST(standin_test, a_restored_store_is_a_copy_with_what_operators_wrote_since)
+{
+    for (const auto& row : restored_rows) {
+        store_model store;
+        static_cast<void>(store.commit(write_of("figreach/old", 0), start));
+        const auto lease = store.open_lease(seconds{9}, start);
+        CHECK_FALSE_TEXT(store.restore(milliseconds{0}, start), row.key);
+        store.take_copy(start);
+        const auto copied = store.revision();
+        const auto later = start + seconds{2};
+        for (int i = 0; i < 5; ++i) {
+            const auto revision = store.find(row.key);
+            static_cast<void>(
+                store.commit(write_of(row.key, revision ? revision->item.revision : 0), later));
+        }
+        const auto lost_lease = store.open_lease(seconds{9}, later);
+        const auto last = store.revision();
+        CHECK_FALSE_TEXT(store.restore(seconds{3}, later), row.key);
+        CHECK_TRUE_TEXT(store.restore(seconds{1}, later), row.key);
+        CHECK_EQUAL_TEXT(1, store.era(), row.key);
+        CHECK_TRUE_TEXT(store.revision() < last, row.key);
+        CHECK_TRUE_TEXT(store.find("figreach/old").has_value(), row.key);
+        CHECK_EQUAL_TEXT(row.kept, store.find(row.key).has_value(), row.key);
+        CHECK_TRUE_TEXT(store.renew_lease(lease, later), row.key);
+        CHECK_FALSE_TEXT(store.renew_lease(lost_lease, later), row.key);
+        // A watch from a revision that the store does not have begins anew.
+        CHECK_FALSE_TEXT(store.changes_after("", last).has_value(), row.key);
+        CHECK_TRUE_TEXT(store.changes_after("", copied).has_value(), row.key);
+    }
+}
+
 TEST(standin_test, a_server_checks_fences)
 {
     const direct::key_span keys{.first = 10, .last = 20};
