Keep the wait for an earlier leader when its successor resigns or leads again

Callers could reach two servers that held the same keys. A leader that has lost only the store goes on for 9 s, so its successor waits 12.4 s before it gives away keys of an owner that does not answer it. When the successor resigned within that time (SIGTERM, a lost lease, a lost path to the servers), the term said only that it had resigned; the next leader waited 3.4 s and gave the keys away while the first one still renewed them. The same happened when one process led twice in a row.

The class of fault: a promise of one leader that the next one must keep, left out of what is handed over. The offer of a term to another host has had this time all along; the record in the store did not.

Records of older hosts have no such field; they are read as before.

--- a/include/figreach/direct/stored_records.h
+++ b/include/figreach/direct/stored_records.h
@@ -18,6 +18,8 @@
     std::uint64_t host_lifetime = 0;
     bool resigned = false; ///< sends no further orders
     milliseconds hold{0};  ///< duration of its longest grants
+    /// For how long grants of earlier leaders may last after it resigned.
+    milliseconds former_orders{0};
 
     friend bool operator==(const leader_term&, const leader_term&) = default;
 };
--- a/src/direct/runtime/leadership.cpp
+++ b/src/direct/runtime/leadership.cpp
@@ -44,6 +44,13 @@
     return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
 }
 
+/// Zero for a time in the past.
+milliseconds time_until(monotonic_time at)
+{
+    const auto left = std::chrono::ceil<milliseconds>(at - time_with_suspension());
+    return std::max(left, milliseconds{0});
+}
+
 std::string describe(const key_order& order)
 {
     const auto span = std::visit([](const auto& one) { return one.keys; }, order);
@@ -249,7 +256,8 @@
     const bool was_self =
         former.host == this->state.settings.name && former.host_lifetime == this->state.lifetime;
     own->former_orders_end =
-        time_with_suspension() + former_orders_wait(former, was_self, manager_settings);
+        std::max(time_with_suspension() + former_orders_wait(former, was_self, manager_settings),
+                 this->earlier_orders_end);
     own->former_leaders = this->possible_former_leaders(former);
     log_event(
         log_level::info, "lead_taken",
@@ -345,6 +353,7 @@
     if (this->current_term == own) {
         log_event(log_level::info, "lead_lost",
                   {{"term", std::to_string(own->term)}, {"reason", reason}});
+        this->earlier_orders_end = own->former_orders_end;
         this->current_term.reset();
         this->state.leads = false;
         this->state.cluster_changed.notify();
@@ -548,7 +557,8 @@
                            .host = this->state.settings.name,
                            .host_lifetime = this->state.lifetime,
                            .resigned = true,
-                           .hold = own->manager_settings.hold};
+                           .hold = own->manager_settings.hold,
+                           .former_orders = time_until(own->former_orders_end)};
     store_transaction resignation;
     resignation.conditions = {{.key = term_key, .revision = own->term_revision}};
     resignation.writes = {{.key = term_key, .value = encode(last), .lease = 0}};
@@ -558,15 +568,13 @@
 
 leadership_transfer leadership::make_offer(const term_state& own) const
 {
-    const auto now = time_with_suspension();
-    const auto left = [now](monotonic_time until) {
-        return std::max(std::chrono::floor<milliseconds>(until - now), milliseconds{0});
-    };
+    const auto authority =
+        std::chrono::floor<milliseconds>(own.authority_until - time_with_suspension());
     leadership_transfer out{.term = own.term,
                             .lease = own.lease,
                             .term_revision = own.term_revision,
-                            .authority = left(own.authority_until),
-                            .former_orders = left(own.former_orders_end),
+                            .authority = std::max(authority, milliseconds{0}),
+                            .former_orders = time_until(own.former_orders_end),
                             .tables = {}};
     for (const auto& [service, managed] : own.services) {
         out.tables.push_back({.table = managed.manager.table(), .revision = managed.revision});
--- a/src/direct/stored_records.cpp
+++ b/src/direct/stored_records.cpp
@@ -103,6 +103,7 @@
     out.set_host_lifetime(term.host_lifetime);
     out.set_resigned(term.resigned);
     out.set_hold_ms(static_cast<std::uint32_t>(term.hold.count()));
+    out.set_former_orders_ms(static_cast<std::uint32_t>(term.former_orders.count()));
     return out.SerializeAsString();
 }
 
@@ -154,7 +155,8 @@
                        .host = {in->host()},
                        .host_lifetime = in->host_lifetime(),
                        .resigned = in->resigned(),
-                       .hold = milliseconds{in->hold_ms()}};
+                       .hold = milliseconds{in->hold_ms()},
+                       .former_orders = milliseconds{in->former_orders_ms()}};
 }
 
 std::optional<live_host> decode_live_host(std::string_view bytes)
--- a/src/direct/takeover.cpp
+++ b/src/direct/takeover.cpp
@@ -21,7 +21,7 @@
     // A leader that has ended may have handed over its term; only a recorded resignation, or this
     // process having led itself, rules that out.
     const bool ended = former.resigned || was_self;
-    return last_grant + (ended ? milliseconds{0} : outage_authority);
+    return ended ? std::max(last_grant, former.former_orders) : last_grant + outage_authority;
 }
 
 } // namespace figreach::direct
--- a/test/direct/key_grant_simulation.h
+++ b/test/direct/key_grant_simulation.h
@@ -131,6 +131,7 @@
         std::int64_t revision = 0;
         std::unique_ptr<key_grant_manager> manager;
         monotonic_time authority_until = monotonic_time::max();
+        monotonic_time former_orders_end{};
         bool cut_from_store = false;              ///< its writes have no effect and get no answer
         std::optional<monotonic_time> written_at; ///< when it learns of its last write
     };
@@ -181,7 +182,9 @@
         this->store.term = {.term = this->store.term.term + 1,
                             .host = {"h" + std::to_string(this->leaders.size())},
                             .hold = grant_manager_settings{}.hold};
-        leader next{.term = this->store.term.term, .revision = this->store.revision};
+        leader next{.term = this->store.term.term,
+                    .revision = this->store.revision,
+                    .former_orders_end = wait_until};
         next.manager = std::make_unique<key_grant_manager>(
             grant_manager_settings{}, this->store.table, wait_until, this->now);
         this->leaders.push_back(std::move(next));
@@ -208,6 +211,9 @@
         if (last.term == this->store.term.term) {
             last.authority_until = this->now;
             this->store.term.resigned = true;
+            this->store.term.former_orders =
+                std::max(std::chrono::ceil<milliseconds>(last.former_orders_end - this->now),
+                         milliseconds{0});
             this->start_leader();
         }
     }
--- a/test/direct/stored_records_test.cpp
+++ b/test/direct/stored_records_test.cpp
@@ -42,8 +42,12 @@
 {
     CHECK_TRUE(decode_key_table(encode(sample_table())) == sample_table());
     CHECK_TRUE(decode_key_table(encode(make_key_table({"x"}))) == make_key_table({"x"}));
-    const leader_term term{
-        .term = 4, .host = {"h"}, .host_lifetime = 8, .resigned = true, .hold = milliseconds{3400}};
+    const leader_term term{.term = 4,
+                           .host = {"h"},
+                           .host_lifetime = 8,
+                           .resigned = true,
+                           .hold = milliseconds{3400},
+                           .former_orders = milliseconds{7100}};
     CHECK_TRUE(decode_leader_term(encode(term)) == term);
     const live_host host{
         .name = {"h"}, .lifetime = 8, .peer_address = "127.0.0.1:1", .failure_domain = {"north"}};
