--- a/include/figreach/direct/cluster_state.h
+++ b/include/figreach/direct/cluster_state.h
@@ -41,7 +41,7 @@
 
 struct key_table_update {
     key_table table;
-    std::int64_t revision = 0;
+    store_revision revision;
 };
 
 struct host_update {
@@ -101,15 +101,18 @@
     apply(store_part part, const std::vector<item_update>& updates, bool whole, monotonic_time now);
     /// Handles the return of the store after an outage of length `away`.
     void on_store_reconnected(milliseconds away, monotonic_time now);
-    void on_tick(monotonic_time now);
+    /// Handles the return of the store from an older copy. What servers and operators wrote since
+    /// is missing until they have written it again.
+    void on_store_restored(monotonic_time now);
+    [[nodiscard]] std::vector<state_change> on_tick(monotonic_time now);
 
     /// Returns null if no configuration is known.
     [[nodiscard]] std::shared_ptr<route_table> routes() const;
     [[nodiscard]] const server_directory& servers() const;
     /// Returns null if the table is not known.
     [[nodiscard]] const key_table* keys(const service_id& service) const;
-    /// Store revision of that table, or 0 if it is not known.
-    [[nodiscard]] std::int64_t keys_revision(const service_id& service) const;
+    /// Store revision of that table. Its number is 0 if the table is not known.
+    [[nodiscard]] store_revision keys_revision(const service_id& service) const;
     [[nodiscard]] bool is_out(const failure_domain_id& domain) const;
     /// Hosts that are registered or were within host_retention, sorted by name. A host that is
     /// partitioned from the store loses its registration but may still serve and send orders.
@@ -174,6 +177,8 @@
     std::shared_ptr<route_table> current_routes;
     std::map<service_id, key_table_update> tables;
     std::set<failure_domain_id> domains_out;
+    std::set<failure_domain_id> domains_unlisted; ///< missing in a restored store; still out
+    monotonic_time restore_grace_until{};
     std::map<host_id, host_record> host_records;
     std::optional<monotonic_time> own_read_at; ///< when the own part was first read in full
     bool leader_present = false;
--- a/include/figreach/direct/follow.h
+++ b/include/figreach/direct/follow.h
@@ -16,7 +16,7 @@
 namespace figreach::direct {
 
 /// The revision up to which each part of the store is known.
-using part_positions = std::map<store_part, std::int64_t>;
+using part_positions = std::map<store_part, store_revision>;
 
 /// Number of requests for one key that one host has observed.
 struct key_load_entry {
@@ -35,6 +35,8 @@
     std::vector<service_time_sample> service_times;
     std::vector<server_load> server_loads;
     std::vector<rate_limit_report> rate_limits;
+    store_era era{};            ///< the latest that the host knows
+    bool wants_listing = false; ///< of the parts that it knows in an earlier era than the leader
 };
 
 struct part_changes {
@@ -46,6 +48,7 @@
     std::vector<part_changes> parts;
     std::vector<server_load> server_loads;      ///< the latest reports from all hosts
     std::vector<rate_limit_report> rate_limits; ///< the latest known to any host
+    store_era era{};                            ///< the latest that the leader knows
 };
 
 /// The leader as known to a host that is not the leader itself.
@@ -59,7 +62,7 @@
 
 struct transferred_table {
     key_table table;
-    std::int64_t revision = 0; ///< store revision of the table
+    store_revision revision; ///< store revision of the table
 
     friend bool operator==(const transferred_table&, const transferred_table&) = default;
 };
@@ -68,8 +71,8 @@
 /// is unavailable.
 struct leadership_transfer {
     std::uint64_t term = 0;
-    std::int64_t lease = 0;
-    std::int64_t term_revision = 0;
+    store_lease lease;
+    store_revision term_revision;
     milliseconds authority{0};     ///< how long grants may be renewed without the store
     milliseconds former_orders{0}; ///< how long grants of earlier leaders may still be valid
     std::vector<transferred_table> tables;
@@ -101,23 +104,27 @@
 public:
     explicit change_log(kept_changes kept = kept_changes::all);
 
-    /// Clears the log and starts from the revision of a snapshot.
-    void restart(std::int64_t revision, monotonic_time now);
+    /// Clears the log and starts from a snapshot.
+    void restart(const store_snapshot& snapshot, monotonic_time now);
     /// Appends the changes up to `more.revision`. Changes that are already known are ignored.
     void add(const store_changes& more, monotonic_time now);
 
     /// Returns all changes after a revision, or an empty optional if some of them are no longer
-    /// retained or the log has not been confirmed since `confirmed_after`.
-    [[nodiscard]] std::optional<store_changes> after(std::int64_t revision,
-                                                     monotonic_time confirmed_after) const;
+    /// retained or the log has not been confirmed since `confirmed_after`. A revision of an earlier
+    /// era gets the snapshot as a full listing, or no changes yet if no listing is wanted.
+    [[nodiscard]] std::optional<store_changes>
+    after(store_revision revision, monotonic_time confirmed_after, bool wants_listing) const;
 
 private:
-    [[nodiscard]] std::deque<store_change>::const_iterator first_after(std::int64_t revision) const;
+    [[nodiscard]] std::optional<store_changes> listing() const;
+    [[nodiscard]] std::deque<store_change>::const_iterator
+    first_after(store_revision revision) const;
 
     kept_changes kept;
     std::deque<store_change> changes; ///< sorted by revision
-    std::int64_t floor = 0;           ///< all changes after this revision are retained
-    std::int64_t position = 0;        ///< all changes up to this revision are known
+    store_snapshot snapshot;          ///< start of the log
+    store_revision floor;             ///< all changes after this revision are retained
+    store_revision position;          ///< all changes up to this revision are known
     std::optional<monotonic_time> confirmed_at;
 };
 
--- a/include/figreach/direct/key_grant_manager.h
+++ b/include/figreach/direct/key_grant_manager.h
@@ -79,6 +79,9 @@
     /// including ones that are shutting down.
     [[nodiscard]] grant_manager_actions on_tick(const std::vector<key_server>& servers,
                                                 const observed_loads& loads, monotonic_time now);
+    /// Continues after the store came back from a copy: the current table replaces the stored one,
+    /// and a write under way has no effect. Further fences are not below `first_fence`.
+    void continue_in_new_era(std::uint64_t first_fence);
     /// Lowers the upper bound of the time when the grants of earlier leaders expire.
     void limit_former_orders(monotonic_time end);
     void on_answer(std::uint64_t call, const order_answer& answer, monotonic_time now);
--- a/include/figreach/direct/runtime/host_context.h
+++ b/include/figreach/direct/runtime/host_context.h
@@ -33,7 +33,8 @@
     /// Records whether the store answered a call made at `called_at`. Logs when the store becomes
     /// unreachable or reachable again.
     void record_store_call(bool answered, monotonic_time called_at);
-    /// Logs a later era of the store.
+    /// Records and logs that the store names a later era. After the first one, the store came back
+    /// from an older copy.
     void record_store_era(store_era era);
     /// Records a new connection to a backend server.
     void record_server_connected();
@@ -52,6 +53,8 @@
     void merge_rate_limits(const std::vector<rate_limit_report>& reports, const host_id& from);
     /// Drops what is known about backend servers that no longer exist.
     void forget_removed_servers(monotonic_time now);
+    /// Returns a random delay that spreads calls of all hosts to the store.
+    [[nodiscard]] milliseconds spread_delay();
     /// This host's retry budget for requests to `service`.
     [[nodiscard]] retry_budget& retry_budget_for(const service_id& service);
 
@@ -78,6 +81,8 @@
     std::map<service_id, retry_budget> retry_budgets;
     std::uint64_t random_state;
     std::optional<store_era> known_era; ///< latest era of the store
+    /// When this host loads again what it knows of the store's former era, at the latest.
+    monotonic_time reload_at{};
     bool store_reachable = true;
     monotonic_time store_unreachable_since{}; ///< start of the first unanswered call
     bool stopping = false;
--- a/include/figreach/direct/runtime/host_registration.h
+++ b/include/figreach/direct/runtime/host_registration.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstdint>
 #include <optional>
 
 #include <boost/asio/awaitable.hpp>
@@ -21,10 +20,11 @@
 
 private:
     boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> wait_for_renewal();
     boost::asio::awaitable<void> register_host();
 
     host_context& state;
-    std::optional<std::int64_t> lease;
+    std::optional<store_lease> lease;
 };
 
 } // namespace figreach::direct
--- a/include/figreach/direct/runtime/leadership.h
+++ b/include/figreach/direct/runtime/leadership.h
@@ -47,12 +47,12 @@
         key_grant_manager manager;
         observed_loads loads;
         service_time_estimator service_times;
-        std::int64_t revision = 0; ///< revision of the key table in the store
+        store_revision revision; ///< revision of the key table in the store
     };
     struct term_state {
         std::uint64_t term = 0;
-        std::int64_t lease = 0;
-        std::int64_t term_revision = 0;
+        store_lease lease;
+        store_revision term_revision;
         monotonic_time authority_until{};   ///< no order is sent after this time
         monotonic_time former_orders_end{}; ///< see key_grant_manager
         grant_manager_settings manager_settings;
@@ -71,12 +71,21 @@
     boost::asio::awaitable<std::shared_ptr<term_state>> claim_term();
     boost::asio::awaitable<void> manage_keys(std::shared_ptr<term_state> own);
     boost::asio::awaitable<void> keep_lease(std::shared_ptr<term_state> own);
+    boost::asio::awaitable<void> continue_in_new_era(std::shared_ptr<term_state> own);
+    /// A transaction that claims a term.
+    struct term_claim {
+        std::uint64_t term = 0;
+        store_transaction transaction;
+    };
+    boost::asio::awaitable<std::optional<term_claim>>
+    make_new_era_claim(std::shared_ptr<term_state> own, store_lease lease);
+    [[nodiscard]] bool is_of_earlier_era(const term_state& own) const;
     boost::asio::awaitable<void> notify_former_leader(std::shared_ptr<term_state> own,
                                                       host_id former);
     boost::asio::awaitable<void> load_service(std::shared_ptr<term_state> own, service_id service);
     void tick(const std::shared_ptr<term_state>& own);
     [[nodiscard]] static service_state make_service_state(key_grant_manager manager,
-                                                          std::int64_t revision);
+                                                          store_revision revision);
     [[nodiscard]] std::vector<key_server>
     key_servers_for(const service_id& service, const service_time_estimator& service_times) const;
     void execute(const std::shared_ptr<term_state>& own, const service_id& service,
--- a/include/figreach/direct/runtime/store_feed.h
+++ b/include/figreach/direct/runtime/store_feed.h
@@ -35,24 +35,27 @@
     [[nodiscard]] std::vector<key_load_entry> take_loads();
     /// Counts a request for a key, to be reported to the leader.
     void record_load(const service_id& service, std::uint32_t key);
+    /// Logs changes of the cluster state and notifies those who wait for them.
+    void publish(const std::vector<state_change>& lines);
     /// Accepts another host's information about the current leader unless its term is outdated.
     void accept_hint(const leader_hint& reported);
 
 private:
     struct part_state {
         change_log log;
-        std::optional<std::int64_t> position; ///< nullopt if a snapshot is needed
-        std::uint32_t failures = 0;           ///< consecutive failed calls
+        std::optional<store_revision> position; ///< nullopt if a snapshot is needed
+        std::uint32_t failures = 0;             ///< consecutive failed calls
     };
 
     boost::asio::awaitable<void> watch(store_part part);
     boost::asio::awaitable<void> load_snapshot(store_part part);
-    boost::asio::awaitable<void> load_changes(store_part part, std::int64_t after);
+    boost::asio::awaitable<void> load_changes(store_part part, store_revision after);
     boost::asio::awaitable<void> follow();
     boost::asio::awaitable<bool> poll(leader_hint leader);
     boost::asio::awaitable<void> find_other_leader();
     [[nodiscard]] std::optional<leader_hint> leader_to_follow() const;
     [[nodiscard]] std::optional<part_positions> positions() const;
+    [[nodiscard]] bool waits_for_reload(store_revision position) const;
     [[nodiscard]] milliseconds follower_wait() const;
     [[nodiscard]] watch_backoff backoff() const;
     boost::asio::awaitable<void> pause_after_failure(store_part part);
@@ -61,8 +64,8 @@
     [[nodiscard]] std::optional<item_update> interpret_change(const store_change& change) const;
     [[nodiscard]] store_change as_delta(const store_change& change,
                                         const item_update& update) const;
+    void apply_listing(store_part part, store_changes listing);
     void apply_snapshot(store_part part, const store_snapshot& snapshot);
-    void publish(const std::vector<state_change>& lines);
 
     host_context& state;
     http_client peers;
--- a/include/figreach/direct/server_directory.h
+++ b/include/figreach/direct/server_directory.h
@@ -49,6 +49,8 @@
     /// Handles the return of the store after an outage of length `away`, after which missing
     /// entries may come back.
     void on_store_reconnected(milliseconds away, monotonic_time now);
+    /// Handles the return of the store from an older copy, which lacks the latest entries.
+    void on_store_restored(monotonic_time now);
     /// Ends entries whose grace period has passed and drops old records.
     void on_tick(monotonic_time now);
 
--- a/include/figreach/direct/store.h
+++ b/include/figreach/direct/store.h
@@ -5,41 +5,58 @@
 #include <variant>
 #include <vector>
 
-#include "figreach/store_call.h"
+#include "figreach/direct/store_revision.h"
 
 namespace figreach::direct {
 
+/// An item of the store.
+struct store_item {
+    std::string key;
+    std::string value;
+    store_revision revision; ///< number 0: absent
+};
+
+/// Identifies a lease. A lease of an earlier era no longer exists, even if its number does.
+struct store_lease {
+    store_era era{};
+    std::int64_t id = 0;
+
+    friend bool operator==(const store_lease&, const store_lease&) = default;
+};
+
 /// Items under a prefix and the store revision from which a watch continues.
 struct store_snapshot {
-    std::vector<stored_value> items;
-    std::int64_t revision = 0;
+    std::vector<store_item> items;
+    store_revision revision;
 };
 
 struct store_change {
-    stored_value item; ///< has no value if removed
+    store_item item; ///< has no value if removed
     bool removed = false;
     bool partial = false; ///< the value is a delta to the previous version
 };
 
 struct store_changes {
     std::vector<store_change> changes;
-    std::int64_t revision = 0;
+    store_revision revision;
+    bool whole = false; ///< the changes are a full listing
 };
 
-/// Requires that the key has this revision, or does not exist if the revision is 0.
+/// Requires that the key has this revision, or does not exist if the revision's number is 0.
 struct store_condition {
     std::string key;
-    std::int64_t revision = 0;
+    store_revision revision;
 };
 
 struct store_write {
     std::string key;
     std::string value;
-    std::int64_t lease = 0; ///< if 0, the item persists after its writer ends
+    store_lease lease; ///< if its id is 0, the item persists after its writer ends
 };
 
 /// Takes effect completely or not at all.
 struct store_transaction {
+    store_era era{}; ///< the era of all that the transaction was derived from
     std::vector<store_condition> conditions;
     std::vector<store_write> writes;
     std::vector<std::string> removals;
@@ -53,6 +70,7 @@
     history_gone, ///< a watch must restart from a snapshot
     conflict,     ///< a condition does not hold; nothing was done
     lease_gone,   ///< the lease has ended; nothing was done
+    era_over,     ///< the store was restored from a copy; a write may have taken effect
 };
 
 [[nodiscard]] constexpr const char* name_of(store_failure failure)
@@ -72,6 +90,8 @@
         return "conflict";
     case store_failure::lease_gone:
         return "lease_gone";
+    case store_failure::era_over:
+        return "era_over";
     }
     return "unknown";
 }
@@ -79,7 +99,8 @@
 /// Whether the write definitely did not take effect and never will.
 [[nodiscard]] constexpr bool had_no_effect(store_failure failure)
 {
-    return failure != store_failure::silent && failure != store_failure::malformed;
+    return failure != store_failure::silent && failure != store_failure::malformed &&
+           failure != store_failure::era_over;
 }
 
 /// Whether the failure is a response of a working store.
--- a/include/figreach/direct/takeover.h
+++ b/include/figreach/direct/takeover.h
@@ -1,6 +1,11 @@
 #pragma once
 
+#include <cstdint>
+#include <optional>
+
 #include "figreach/direct/key_grant_manager.h"
+#include "figreach/direct/store.h"
+#include "figreach/direct/store_revision.h"
 #include "figreach/direct/stored_records.h"
 #include "figreach/time.h"
 
@@ -15,9 +20,34 @@
 [[nodiscard]] milliseconds max_order_duration(const grant_manager_settings& settings,
                                               milliseconds hold);
 
-/// Returns for how long grants of earlier leaders may last from the moment of a takeover. `former`
-/// is the latest term in the store, `was_self` whether this process led in it.
-[[nodiscard]] milliseconds former_orders_wait(const leader_term& former, bool was_self,
+/// Returns the lowest number of a term or fence in an era. Numbers of an era are above those of all
+/// earlier eras, also of those whose records the store has lost.
+[[nodiscard]] std::uint64_t first_number_of(store_era era);
+
+/// Returns the number of the term that follows all terms before, of which `latest` is the highest
+/// known one.
+[[nodiscard]] std::uint64_t next_term(std::uint64_t latest, store_era era);
+
+/// What a host knows of earlier leaders when it takes over.
+struct predecessor {
+    leader_term stored;           ///< the latest term in the store
+    std::uint64_t known_term = 0; ///< the highest term that this process has seen
+    bool was_self = false;        ///< this process led in the stored term
+};
+
+/// Returns for how long grants of earlier leaders may last from the moment of a takeover.
+[[nodiscard]] milliseconds former_orders_wait(const predecessor& former, store_era era,
                                               const grant_manager_settings& settings);
 
+/// Returns a transaction that claims the term `next` under `lease`, provided that the items of the
+/// leader and of the term still have the given revisions.
+[[nodiscard]] store_transaction make_term_claim(const leader_term& next, const store_lease& lease,
+                                                store_revision leader, store_revision term);
+
+/// Returns the table that a leader goes on from. If the store has none, or one of an earlier era,
+/// the present one may be lost, so that any server may hold any key: each range is marked as moving
+/// and has no known owner.
+[[nodiscard]] key_table adopt_table(const service_id& service, std::optional<key_table> stored,
+                                    store_era era);
+
 } // namespace figreach::direct
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -140,7 +140,7 @@
                            {"resources", std::move(resources)}};
     const direct::store_transaction what{
         .conditions = {},
-        .writes = {{.key = name::configuration_key, .value = json::serialize(all), .lease = 0}},
+        .writes = {{.key = name::configuration_key, .value = json::serialize(all)}},
         .removals = {}};
     static_cast<void>(this->model.commit(what, monotonic_time::clock::now()));
     this->store.notify();
--- a/src/direct/cluster_state.cpp
+++ b/src/direct/cluster_state.cpp
@@ -10,6 +10,8 @@
 
 /// Maximum number of malformed items that are remembered in order to report each only once.
 constexpr std::size_t max_unreadable_keys = 1000;
+/// Servers and operators write again within about two seconds what a restored store lacks.
+constexpr milliseconds restore_grace{2500};
 
 item_update decoded_or_unreadable(const std::string& key, auto decoded, auto make)
 {
@@ -95,13 +97,26 @@
     this->directory.on_store_reconnected(away, now);
 }
 
-void cluster_state::on_tick(monotonic_time now)
+void cluster_state::on_store_restored(monotonic_time now)
 {
+    this->directory.on_store_restored(now);
+    this->restore_grace_until = now + restore_grace;
+}
+
+std::vector<state_change> cluster_state::on_tick(monotonic_time now)
+{
+    std::vector<state_change> out;
     this->directory.on_tick(now);
+    if (now >= this->restore_grace_until) {
+        for (const auto& domain : std::exchange(this->domains_unlisted, {})) {
+            this->apply_update(domain_update{.domain = domain, .out = false}, out, now);
+        }
+    }
     std::erase_if(this->host_records, [now](const auto& item) {
         const auto& ended_at = item.second.ended_at;
         return ended_at && now >= *ended_at + host_retention;
     });
+    return out;
 }
 
 void cluster_state::apply_update(const configuration_update& update, std::vector<state_change>& out,
@@ -148,6 +163,7 @@
 void cluster_state::apply_update(const domain_update& update, std::vector<state_change>& out,
                                  monotonic_time)
 {
+    this->domains_unlisted.erase(update.domain);
     const bool changed = update.out ? this->domains_out.insert(update.domain).second
                                     : this->domains_out.erase(update.domain) > 0;
     if (changed) {
@@ -160,12 +176,13 @@
                                  monotonic_time)
 {
     auto& present = this->tables[update.table.service];
-    if (update.revision <= present.revision) {
+    // In a store that was restored from a copy, an old table has a later revision.
+    if (update.revision <= present.revision || update.table.next_fence < present.table.next_fence) {
         return;
     }
     out.push_back({.event = "key_table",
                    .fields = {{"service", update.table.service.value},
-                              {"revision", std::to_string(update.revision)},
+                              {"revision", std::to_string(update.revision.number().value)},
                               {"next_fence", std::to_string(update.table.next_fence)},
                               {"ranges", std::to_string(update.table.ranges.size())}}});
     present = update;
@@ -258,9 +275,14 @@
     if (part == store_part::operators) {
         const auto before = this->domains_out;
         for (const auto& domain : before) {
-            if (!domains.contains(domain)) {
-                this->apply_update(domain_update{.domain = domain, .out = false}, out, now);
+            if (domains.contains(domain)) {
+                continue;
+            }
+            if (now < this->restore_grace_until) {
+                this->domains_unlisted.insert(domain);
+                continue;
             }
+            this->apply_update(domain_update{.domain = domain, .out = false}, out, now);
         }
     }
     if (part == store_part::own) {
@@ -289,10 +311,10 @@
     return found != this->tables.end() ? &found->second.table : nullptr;
 }
 
-std::int64_t cluster_state::keys_revision(const service_id& service) const
+store_revision cluster_state::keys_revision(const service_id& service) const
 {
     const auto found = this->tables.find(service);
-    return found != this->tables.end() ? found->second.revision : 0;
+    return found != this->tables.end() ? found->second.revision : store_revision{};
 }
 
 bool cluster_state::is_out(const failure_domain_id& domain) const
--- a/src/direct/follow.cpp
+++ b/src/direct/follow.cpp
@@ -31,6 +31,11 @@
 
 constexpr double percent = 100.0;
 
+std::uint64_t to_number(store_era era)
+{
+    return static_cast<std::uint64_t>(era);
+}
+
 void fill(wire::ServerLoad& out, const server_load& load)
 {
     out.set_server(load.server.value);
@@ -82,9 +87,9 @@
     return out;
 }
 
-store_change to_change(const wire::ItemChange& in)
+store_change to_change(const wire::ItemChange& in, store_era era)
 {
-    return {.item = {.key = in.key(), .value = in.value(), .revision = in.revision()},
+    return {.item = {.key = in.key(), .value = in.value(), .revision = {era, in.revision()}},
             .removed = in.removed(),
             .partial = in.partial()};
 }
@@ -95,10 +100,13 @@
 {
     wire::FollowRequest out;
     out.set_host(request.host.value);
+    out.set_era(to_number(request.era));
+    out.set_wants_listing(request.wants_listing);
     for (const auto& [part, revision] : request.positions) {
         auto* item = out.add_positions();
         item->set_part(static_cast<std::uint32_t>(part));
-        item->set_revision(revision);
+        item->set_revision(revision.number().value);
+        item->set_era(to_number(revision.era()));
     }
     for (const auto& one : request.loads) {
         auto* item = out.add_loads();
@@ -124,15 +132,18 @@
 std::string encode(const follow_answer& answer)
 {
     wire::FollowAnswer out;
+    out.set_era(to_number(answer.era));
     for (const auto& part : answer.parts) {
         auto* item = out.add_parts();
         item->set_part(static_cast<std::uint32_t>(part.part));
-        item->set_revision(part.changes.revision);
+        item->set_revision(part.changes.revision.number().value);
+        item->set_era(to_number(part.changes.revision.era()));
+        item->set_whole(part.changes.whole);
         for (const auto& change : part.changes.changes) {
             auto* one = item->add_changes();
             one->set_key(change.item.key);
             one->set_value(change.item.value);
-            one->set_revision(change.item.revision);
+            one->set_revision(change.item.revision.number().value);
             one->set_removed(change.removed);
             one->set_partial(change.partial);
         }
@@ -159,14 +170,15 @@
 {
     wire::TenureOffer out;
     out.set_term(offer.term);
-    out.set_lease(offer.lease);
-    out.set_term_revision(offer.term_revision);
+    out.set_lease(offer.lease.id);
+    out.set_era(to_number(offer.term_revision.era()));
+    out.set_term_revision(offer.term_revision.number().value);
     out.set_authority_ms(static_cast<std::uint32_t>(offer.authority.count()));
     out.set_former_orders_ms(static_cast<std::uint32_t>(offer.former_orders.count()));
     for (const auto& one : offer.tables) {
         auto* item = out.add_tables();
         item->set_service(one.table.service.value);
-        item->set_revision(one.revision);
+        item->set_revision(one.revision.number().value);
         item->set_table(encode(one.table));
     }
     return out.SerializeAsString();
@@ -188,9 +200,10 @@
     if (!in || in->term() == 0) {
         return std::nullopt;
     }
+    const store_era era{in->era()};
     leadership_transfer out{.term = in->term(),
-                            .lease = in->lease(),
-                            .term_revision = in->term_revision(),
+                            .lease = {.era = era, .id = in->lease()},
+                            .term_revision = {era, in->term_revision()},
                             .authority = milliseconds{in->authority_ms()},
                             .former_orders = milliseconds{in->former_orders_ms()},
                             .tables = {}};
@@ -199,7 +212,7 @@
         if (!table) {
             return std::nullopt;
         }
-        out.tables.push_back({.table = std::move(*table), .revision = one.revision()});
+        out.tables.push_back({.table = std::move(*table), .revision = {era, one.revision()}});
     }
     return out;
 }
@@ -215,13 +228,15 @@
                        .loads = {},
                        .service_times = {},
                        .server_loads = to_loads(in->server_loads()),
-                       .rate_limits = to_rate_limits(in->rate_limits())};
+                       .rate_limits = to_rate_limits(in->rate_limits()),
+                       .era = store_era{in->era()},
+                       .wants_listing = in->wants_listing()};
     for (const auto& one : in->positions()) {
         const auto part = part_of(one.part());
         if (!part) {
             return std::nullopt;
         }
-        out.positions[*part] = one.revision();
+        out.positions[*part] = {store_era{one.era()}, one.revision()};
     }
     for (const auto& one : in->loads()) {
         if (one.key() >= key_count) {
@@ -246,15 +261,19 @@
     }
     follow_answer out{.parts = {},
                       .server_loads = to_loads(in->server_loads()),
-                      .rate_limits = to_rate_limits(in->rate_limits())};
+                      .rate_limits = to_rate_limits(in->rate_limits()),
+                      .era = store_era{in->era()}};
     for (const auto& one : in->parts()) {
         const auto part = part_of(one.part());
         if (!part) {
             return std::nullopt;
         }
-        part_changes changes{.part = *part, .changes = {.changes = {}, .revision = one.revision()}};
+        const store_era era{one.era()};
+        part_changes changes{
+            .part = *part,
+            .changes = {.changes = {}, .revision = {era, one.revision()}, .whole = one.whole()}};
         for (const auto& change : one.changes()) {
-            changes.changes.changes.push_back(to_change(change));
+            changes.changes.changes.push_back(to_change(change, era));
         }
         out.parts.push_back(std::move(changes));
     }
@@ -277,11 +296,12 @@
 
 change_log::change_log(kept_changes kept_) : kept{kept_} {}
 
-void change_log::restart(std::int64_t revision, monotonic_time now)
+void change_log::restart(const store_snapshot& start, monotonic_time now)
 {
     this->changes.clear();
-    this->floor = revision;
-    this->position = revision;
+    this->snapshot = start;
+    this->floor = start.revision;
+    this->position = start.revision;
     this->confirmed_at = now;
 }
 
@@ -302,25 +322,50 @@
     while (this->changes.size() > max_changes) {
         this->floor = this->changes.front().item.revision;
         this->changes.pop_front();
+        this->snapshot.items.clear();
     }
 }
 
 /// The leader searches the log for each follower at each change, so this is a binary search.
-std::deque<store_change>::const_iterator change_log::first_after(std::int64_t revision) const
+std::deque<store_change>::const_iterator change_log::first_after(store_revision revision) const
 {
     return std::partition_point(
         this->changes.begin(), this->changes.end(),
         [&](const auto& change) { return change.item.revision <= revision; });
 }
 
-std::optional<store_changes> change_log::after(std::int64_t revision,
-                                               monotonic_time confirmed_after) const
+std::optional<store_changes>
+change_log::after(store_revision revision, monotonic_time confirmed_after, bool wants_listing) const
 {
-    if (!this->confirmed_at || *this->confirmed_at < confirmed_after || revision < this->floor) {
+    const bool is_confirmed = this->confirmed_at && *this->confirmed_at >= confirmed_after;
+    if (!is_confirmed || revision.era() > this->position.era()) {
+        return std::nullopt;
+    }
+    if (revision.era() < this->position.era()) {
+        if (!wants_listing) {
+            return store_changes{.changes = {}, .revision = revision};
+        }
+        return this->listing();
+    }
+    if (revision < this->floor) {
         return std::nullopt;
     }
     return store_changes{.changes = {this->first_after(revision), this->changes.end()},
                          .revision = this->position};
 }
 
+/// Returns the snapshot, after which all changes are retained, or an empty optional if some are
+/// not.
+std::optional<store_changes> change_log::listing() const
+{
+    if (this->floor != this->snapshot.revision) {
+        return std::nullopt;
+    }
+    store_changes out{.changes = {}, .revision = this->snapshot.revision, .whole = true};
+    for (const auto& item : this->snapshot.items) {
+        out.changes.push_back({.item = item});
+    }
+    return out;
+}
+
 } // namespace figreach::direct
--- a/src/direct/key_grant_manager.cpp
+++ b/src/direct/key_grant_manager.cpp
@@ -18,6 +18,13 @@
     return found != servers.end() && found->id == id ? &*found : nullptr;
 }
 
+/// Whether the entry is one of an earlier lifetime than the owner's, which a restored store may
+/// hold for a while.
+bool is_outdated(const key_server& entry, const key_range& range)
+{
+    return entry.lifetime < range.owner_lifetime;
+}
+
 bool any_takes_keys(const std::vector<key_server>& servers)
 {
     return std::any_of(servers.begin(), servers.end(),
@@ -84,8 +91,9 @@
 {
     for (const auto& range : this->current.ranges) {
         // An order of an earlier leader about a move may still be in flight.
-        this->states[range.keys.first] = {
-            .former_until = former_orders_end, .next_order = now, .needs_fence = range.moving};
+        this->states[range.keys.first] = {.former_until = former_orders_end,
+                                          .next_order = now,
+                                          .needs_fence = range.moving && !range.owner.empty()};
     }
 }
 
@@ -116,7 +124,7 @@
 bool key_grant_manager::has_ended(const key_range& range, const key_server* owner) const
 {
     return this->is_replaced(range.owner, range.owner_lifetime) ||
-           (owner != nullptr && (owner->ended || owner->lifetime != range.owner_lifetime));
+           (owner != nullptr && (owner->ended || owner->lifetime > range.owner_lifetime));
 }
 
 /// Sends the next order about one range if it is due.
@@ -132,7 +140,7 @@
         state.released = true;
         return;
     }
-    if (owner == nullptr || state.needs_fence) {
+    if (owner == nullptr || is_outdated(*owner, range) || state.needs_fence) {
         return;
     }
     if (range.moving && state.granted) {
@@ -255,6 +263,12 @@
                        });
 }
 
+void key_grant_manager::continue_in_new_era(std::uint64_t first_fence)
+{
+    this->pending_write.reset();
+    this->current.next_fence = std::max(this->current.next_fence, first_fence);
+}
+
 void key_grant_manager::limit_former_orders(monotonic_time end)
 {
     for (auto& [first, state] : this->states) {
@@ -485,7 +499,8 @@
             state.released || this->has_ended(range, find_server(servers, range.owner));
         const bool expired =
             range.moving && this->is_settled(range) && now >= state.latest_hold_end();
-        if (range.owner.empty() || ended || expired) {
+        const bool unowned = range.owner.empty() && !range.moving;
+        if (unowned || ended || expired) {
             out.push_back({.keys = range.keys, .handover = state.handover});
         }
     }
@@ -547,7 +562,8 @@
             continue;
         }
         const auto* owner = find_server(servers, range.owner);
-        if (owner == nullptr || !owner->takes_keys || this->is_unresponsive(range.owner)) {
+        if (owner == nullptr || !owner->takes_keys || is_outdated(*owner, range) ||
+            this->is_unresponsive(range.owner)) {
             range.moving = true;
             range.fence = draft.next_fence++;
         }
--- a/src/direct/key_table_delta.cpp
+++ b/src/direct/key_table_delta.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-key_table_delta make_delta(const key_table& older, std::int64_t older_revision,
+key_table_delta make_delta(const key_table& older, store_revision older_revision,
                            const key_table& newer)
 {
     key_table_delta out{.service = newer.service,
@@ -60,7 +60,7 @@
 {
     wire::KeyTableDelta out;
     out.set_service(delta.service.value);
-    out.set_base_revision(delta.base_revision);
+    out.set_base_revision(delta.base_revision.number().value);
     out.set_next_fence(delta.next_fence);
     for (const auto& range : delta.changed) {
         fill(*out.add_changed(), range);
@@ -68,7 +68,7 @@
     return out.SerializeAsString();
 }
 
-std::optional<key_table_delta> decode_key_table_delta(std::string_view bytes)
+std::optional<key_table_delta> decode_key_table_delta(std::string_view bytes, store_era era)
 {
     const auto in = parse_message<wire::KeyTableDelta>(bytes);
     if (!in) {
@@ -79,7 +79,7 @@
         return std::nullopt;
     }
     return key_table_delta{.service = {in->service()},
-                           .base_revision = in->base_revision(),
+                           .base_revision = {era, in->base_revision()},
                            .next_fence = in->next_fence(),
                            .changed = std::move(*changed)};
 }
--- a/src/direct/runtime/direct_host.cpp
+++ b/src/direct/runtime/direct_host.cpp
@@ -101,7 +101,10 @@
 asio::awaitable<void> direct_host::watch_cluster()
 {
     while (!this->state.stopping) {
-        this->state.cluster.on_tick(monotonic_time::clock::now());
+        const auto changes = this->state.cluster.on_tick(monotonic_time::clock::now());
+        if (!changes.empty()) {
+            this->feed.publish(changes);
+        }
         if (this->leader.leads()) {
             for (const auto& one : this->feed.take_loads()) {
                 this->leader.record_load(one.service, one.key, one.requests);
--- a/src/direct/runtime/host_context.cpp
+++ b/src/direct/runtime/host_context.cpp
@@ -18,6 +18,10 @@
 /// In report intervals; see directory_settings::min_outage.
 constexpr int absence_reports = 2;
 
+/// Time between the reloads of two hosts in a new era of the store; keeps 1,200 hosts below the
+/// rate limits of the store and the leader's link.
+constexpr milliseconds reload_interval_per_host{10};
+
 /// Ages of reports leave out the time on the way. A report counts as later than another event only
 /// by more than this.
 constexpr milliseconds report_delay{300};
@@ -95,6 +99,12 @@
               {{"era", era_text(era)},
                {"former", this->known_era ? era_text(*this->known_era) : "none"},
                {"leads", this->leads ? "true" : "false"}});
+    if (this->known_era) {
+        const auto now = monotonic_time::clock::now();
+        this->cluster.on_store_restored(now);
+        this->reload_at = now + this->spread_delay();
+        this->cluster_changed.notify();
+    }
     this->known_era = era;
 }
 
@@ -190,6 +200,15 @@
     std::erase_if(this->invalid_rate_limits, [&](const auto& id) { return !is_known(id); });
 }
 
+milliseconds host_context::spread_delay()
+{
+    const auto hosts = static_cast<std::int64_t>(this->cluster.host_count());
+    const auto longest = reload_interval_per_host * (hosts + 1);
+    const auto random =
+        next_random(this->random_state) % static_cast<std::uint64_t>(longest.count());
+    return milliseconds{static_cast<std::int64_t>(random)};
+}
+
 retry_budget& host_context::retry_budget_for(const service_id& service)
 {
     const auto known = this->retry_budgets.find(service);
--- a/src/direct/runtime/host_registration.cpp
+++ b/src/direct/runtime/host_registration.cpp
@@ -43,15 +43,29 @@
                 continue;
             }
         }
-        co_await sleep_for(this->state.io, this->lease ? renew_interval : retry_interval);
+        co_await this->wait_for_renewal();
+    }
+}
+
+/// Returns early if the store has lost the registration in a new era.
+asio::awaitable<void> host_registration::wait_for_renewal()
+{
+    const auto until =
+        monotonic_time::clock::now() + (this->lease ? renew_interval : retry_interval);
+    while (monotonic_time::clock::now() < until) {
+        co_await sleep_for(this->state.io, retry_interval);
+        const bool is_lost = this->lease && this->lease->era < this->state.store.era();
+        if (is_lost && monotonic_time::clock::now() >= this->state.reload_at) {
+            co_return;
+        }
     }
 }
 
 asio::awaitable<void> host_registration::register_host()
 {
     const auto opened = co_await this->state.store.open_lease(lease_duration, call_timeout);
-    const auto* lease_id = std::get_if<std::int64_t>(&opened);
-    if (lease_id == nullptr) {
+    const auto* opened_lease = std::get_if<store_lease>(&opened);
+    if (opened_lease == nullptr) {
         co_return;
     }
     constexpr double percent = 100.0;
@@ -61,12 +75,12 @@
                          .peer_address = this->state.settings.peer_address,
                          .processor_percent = static_cast<std::uint32_t>(processor),
                          .failure_domain = this->state.settings.failure_domain};
-    store_transaction entry;
+    store_transaction entry{.era = opened_lease->era};
     entry.writes.push_back(
-        {.key = hosts_prefix + self.name.value, .value = encode(self), .lease = *lease_id});
+        {.key = hosts_prefix + self.name.value, .value = encode(self), .lease = *opened_lease});
     const auto written = co_await this->state.store.commit(std::move(entry), call_timeout);
-    if (std::holds_alternative<std::int64_t>(written)) {
-        this->lease = *lease_id;
+    if (std::holds_alternative<store_revision>(written)) {
+        this->lease = *opened_lease;
     }
 }
 
--- a/src/direct/runtime/leadership.cpp
+++ b/src/direct/runtime/leadership.cpp
@@ -28,6 +28,8 @@
 /// Delay between successive candidates.
 constexpr milliseconds campaign_step{40};
 constexpr milliseconds max_campaign_delay{600};
+/// Time for which other hosts leave a new era of the store to the leader of the former one.
+constexpr milliseconds new_era_claim_delay{1000};
 /// Lets backend servers that start together all register before keys are first assigned.
 constexpr milliseconds initial_servers_wait{700};
 constexpr milliseconds write_retry_interval{100};
@@ -146,7 +148,7 @@
 }
 
 leadership::service_state leadership::make_service_state(key_grant_manager manager,
-                                                         std::int64_t revision)
+                                                         store_revision revision)
 {
     return {.manager = std::move(manager),
             .loads = {.recent = key_loads{{.memory = recent_load_window}},
@@ -215,7 +217,12 @@
     for (const auto& host : this->state.cluster.hosts()) {
         before += rank(host) > own ? 1 : 0;
     }
-    return std::min(campaign_step * before, max_campaign_delay);
+    // The leader of an earlier era goes on without a gap if it is the first to claim.
+    const bool leader_may_continue = !term.host.empty() && !term.resigned &&
+                                     term.host != this->state.settings.name &&
+                                     term.term < first_number_of(this->state.store.era());
+    return std::min(campaign_step * before, max_campaign_delay) +
+           (leader_may_continue ? new_era_claim_delay : milliseconds{0});
 }
 
 asio::awaitable<std::shared_ptr<leadership::term_state>> leadership::claim_term()
@@ -224,49 +231,51 @@
     const auto sent_at = time_with_suspension();
     const auto lease = co_await store.open_lease(lease_duration, call_timeout);
     const auto found = co_await store.read(term_key, call_timeout);
-    const auto* lease_id = std::get_if<std::int64_t>(&lease);
-    const auto* item = std::get_if<stored_value>(&found);
-    if (lease_id == nullptr || item == nullptr) {
+    const auto* opened = std::get_if<store_lease>(&lease);
+    const auto* item = std::get_if<store_item>(&found);
+    if (opened == nullptr || item == nullptr || item->revision.era() != opened->era) {
         co_return nullptr;
     }
+    const auto era = opened->era;
     const auto former = decode_leader_term(item->value).value_or(leader_term{});
+    const auto known = this->state.cluster.term();
     const auto manager_settings = this->current_settings();
-    const leader_term next{.term = former.term + 1,
+    const leader_term next{.term = next_term(std::max(former.term, known.term), era),
                            .host = this->state.settings.name,
                            .host_lifetime = this->state.lifetime,
                            .resigned = false,
                            .hold = manager_settings.hold};
-    store_transaction claim;
-    claim.conditions = {{.key = leader_key, .revision = 0},
-                        {.key = term_key, .revision = item->revision}};
-    claim.writes = {{.key = leader_key, .value = next.host.value, .lease = *lease_id},
-                    {.key = term_key, .value = encode(next), .lease = 0}};
+    auto claim = make_term_claim(next, *opened, {era, 0}, item->revision);
     const auto written = co_await store.commit(std::move(claim), call_timeout);
-    const auto* revision = std::get_if<std::int64_t>(&written);
+    const auto* revision = std::get_if<store_revision>(&written);
     if (revision == nullptr) {
         co_return nullptr;
     }
     auto own = std::make_shared<term_state>();
     own->term = next.term;
-    own->lease = *lease_id;
+    own->lease = *opened;
     own->term_revision = *revision;
     own->manager_settings = manager_settings;
     own->former_hold = std::max(former.hold, manager_settings.hold);
     own->authority_until = sent_at + lease_duration + outage_authority;
-    const bool was_self =
-        former.host == this->state.settings.name && former.host_lifetime == this->state.lifetime;
+    const predecessor before{.stored = former,
+                             .known_term = known.term,
+                             .was_self = former.host == this->state.settings.name &&
+                                         former.host_lifetime == this->state.lifetime};
     own->former_orders_end =
-        std::max(time_with_suspension() + former_orders_wait(former, was_self, manager_settings),
+        std::max(time_with_suspension() + former_orders_wait(before, era, manager_settings),
                  this->earlier_orders_end);
     own->former_leaders = this->possible_former_leaders(former);
+    // The store may have lost the record of the latest leader.
+    const auto& latest = known.term > former.term ? known : former;
     log_event(
         log_level::info, "lead_taken",
         {{"term", std::to_string(next.term)},
-         {"former", former.host.value},
-         {"former_resigned", former.resigned ? "true" : "false"},
+         {"former", latest.host.value},
+         {"former_resigned", latest.resigned ? "true" : "false"},
          {"former_orders_ms", milliseconds_text(own->former_orders_end - time_with_suspension())}});
-    if (!former.host.empty() && !former.resigned && former.host != this->state.settings.name) {
-        asio::co_spawn(this->state.io, this->notify_former_leader(own, former.host),
+    if (!latest.host.empty() && !latest.resigned && latest.host != this->state.settings.name) {
+        asio::co_spawn(this->state.io, this->notify_former_leader(own, latest.host),
                        asio::detached);
     }
     co_return own;
@@ -281,8 +290,10 @@
     constexpr auto max_authority = lease_duration + outage_authority;
     static_assert(cluster_state::host_retention >= max_authority);
     auto out = this->state.cluster.hosts_seen_within(max_authority, monotonic_time::clock::now());
-    if (out && !former.host.empty()) {
-        out->push_back(former.host);
+    for (const auto& host : {former.host, this->state.cluster.term().host}) {
+        if (out && !host.empty()) {
+            out->push_back(host);
+        }
     }
     return out;
 }
@@ -337,6 +348,10 @@
         const auto called_at = monotonic_time::clock::now();
         const auto failure = co_await this->state.store.renew_lease(own->lease, call_timeout);
         this->state.record_store_call(!failure || store_responded(*failure), called_at);
+        if (this->is_of_earlier_era(*own)) {
+            co_await this->continue_in_new_era(own);
+            continue;
+        }
         if (failure == store_failure::lease_gone) {
             this->step_down(own, "lease_gone");
             co_await this->record_resignation(own);
@@ -348,6 +363,91 @@
     }
 }
 
+bool leadership::is_of_earlier_era(const term_state& own) const
+{
+    return own.term_revision.era() < this->state.store.era();
+}
+
+/// Claims a new term in the new era and writes the tables of this leader again: until its authority
+/// ends no other host has given later grants, so its tables are the present ones.
+asio::awaitable<void> leadership::continue_in_new_era(std::shared_ptr<term_state> own)
+{
+    while (this->current_term == own && this->is_of_earlier_era(*own)) {
+        const auto sent_at = time_with_suspension();
+        const auto opened = co_await this->state.store.open_lease(lease_duration, call_timeout);
+        const auto* lease = std::get_if<store_lease>(&opened);
+        std::optional<term_claim> claim;
+        if (lease != nullptr) {
+            claim = co_await this->make_new_era_claim(own, *lease);
+        }
+        if (!claim) {
+            co_await sleep_for(this->state.io, write_retry_interval);
+            continue;
+        }
+        const auto written =
+            co_await this->state.store.commit(std::move(claim->transaction), call_timeout);
+        const auto* revision = std::get_if<store_revision>(&written);
+        if (revision == nullptr || this->current_term != own) {
+            co_await sleep_for(this->state.io, write_retry_interval);
+            continue;
+        }
+        own->term = claim->term;
+        own->lease = *lease;
+        own->term_revision = *revision;
+        own->authority_until = sent_at + lease_duration + outage_authority;
+        for (auto& item : own->services) {
+            item.second.revision = *revision;
+        }
+        log_event(log_level::warn, "lead_continued",
+                  {{"term", std::to_string(own->term)},
+                   {"revision", std::to_string(revision->number().value)},
+                   {"tables", std::to_string(own->services.size())}});
+    }
+}
+
+/// Returns an empty optional if the store does not answer, or steps down if another host has
+/// claimed a term of the new era.
+asio::awaitable<std::optional<leadership::term_claim>>
+leadership::make_new_era_claim(std::shared_ptr<term_state> own, store_lease lease)
+{
+    auto& store = this->state.store;
+    const auto leader = co_await store.read(leader_key, call_timeout);
+    const auto term = co_await store.read(term_key, call_timeout);
+    const auto* leader_item = std::get_if<store_item>(&leader);
+    const auto* term_item = std::get_if<store_item>(&term);
+    if (leader_item == nullptr || term_item == nullptr) {
+        co_return std::nullopt;
+    }
+    const auto stored = decode_leader_term(term_item->value).value_or(leader_term{});
+    // An earlier claim of this loop may have taken effect without an answer.
+    const bool is_own =
+        stored.host == this->state.settings.name && stored.host_lifetime == this->state.lifetime;
+    if (stored.term >= first_number_of(lease.era) && !is_own) {
+        this->step_down(own, "newer_term");
+        co_return std::nullopt;
+    }
+    const leader_term next{.term = next_term(std::max(own->term, stored.term), lease.era),
+                           .host = this->state.settings.name,
+                           .host_lifetime = this->state.lifetime,
+                           .hold = own->manager_settings.hold};
+    term_claim claim{.term = next.term,
+                     .transaction =
+                         make_term_claim(next, lease, leader_item->revision, term_item->revision)};
+    auto& out = claim.transaction;
+    for (auto& [service, managed] : own->services) {
+        const auto key = key_tables_prefix + service.value;
+        const auto found = co_await store.read(key, call_timeout);
+        const auto* item = std::get_if<store_item>(&found);
+        if (item == nullptr) {
+            co_return std::nullopt;
+        }
+        managed.manager.continue_in_new_era(first_number_of(lease.era));
+        out.conditions.push_back({.key = key, .revision = item->revision});
+        out.writes.push_back({.key = key, .value = encode(managed.manager.table())});
+    }
+    co_return claim;
+}
+
 void leadership::step_down(const std::shared_ptr<term_state>& own, const char* reason)
 {
     if (this->current_term == own) {
@@ -365,7 +465,8 @@
     while (this->current_term == own && !this->resigning && !this->state.is_cut_off()) {
         const auto routes = this->state.cluster.routes();
         for (const auto& [name, service] : routes->configuration().services) {
-            if (service.divided_by_key && !own->services.contains(name)) {
+            if (service.divided_by_key && !own->services.contains(name) &&
+                !this->is_of_earlier_era(*own)) {
                 co_await this->load_service(own, name);
             }
         }
@@ -379,30 +480,34 @@
 {
     const auto key = key_tables_prefix + service.value;
     const auto found = co_await this->state.store.read(key, call_timeout);
-    const auto* item = std::get_if<stored_value>(&found);
+    const auto* item = std::get_if<store_item>(&found);
     if (item == nullptr) {
         co_return;
     }
     auto table = decode_key_table(item->value);
-    if (!table && item->revision != 0) {
+    if (!table && item->revision.number().value != 0) {
         log_event(log_level::error, "key_table_unreadable", {{"service", service.value}});
     }
-    const bool is_new = !table;
-    if (is_new) {
+    if (!table) {
         co_await sleep_for(this->state.io, initial_servers_wait);
         if (this->key_servers_for(service, service_time_estimator{service_time_settings{}})
                 .empty()) {
             co_return;
         }
     }
+    if (item->revision.era() != own->term_revision.era() || this->is_of_earlier_era(*own)) {
+        co_return;
+    }
+    const auto stored_fence = table ? std::to_string(table->next_fence) : "none";
+    auto adopted = adopt_table(service, std::move(table), item->revision.era());
     log_event(log_level::info, "key_table_loaded",
               {{"service", service.value},
                {"term", std::to_string(own->term)},
-               {"revision", std::to_string(item->revision)},
-               {"next_fence", is_new ? "none" : std::to_string(table->next_fence)}});
-    key_grant_manager manager{own->manager_settings,
-                              is_new ? make_key_table(service) : std::move(*table),
-                              own->former_orders_end, time_with_suspension()};
+               {"revision", std::to_string(item->revision.number().value)},
+               {"stored_next_fence", stored_fence},
+               {"next_fence", std::to_string(adopted.next_fence)}});
+    key_grant_manager manager{own->manager_settings, std::move(adopted), own->former_orders_end,
+                              time_with_suspension()};
     own->services.emplace(service, make_service_state(std::move(manager), item->revision));
 }
 
@@ -413,6 +518,10 @@
         this->step_down(own, "authority_ran_out");
         return;
     }
+    if (this->state.cluster.term().term > own->term) {
+        this->step_down(own, "newer_term");
+        return;
+    }
     this->update_former_orders_end(*own, now);
     for (auto& item : own->services) {
         const auto& service = item.first;
@@ -458,6 +567,10 @@
 void leadership::execute(const std::shared_ptr<term_state>& own, const service_id& service,
                          const write_table& action)
 {
+    if (this->is_of_earlier_era(*own)) {
+        own->services.at(service).manager.on_not_written();
+        return;
+    }
     asio::co_spawn(this->state.io, this->write_key_table(own, service, action.table),
                    asio::detached);
 }
@@ -505,21 +618,28 @@
     const auto key = key_tables_prefix + service.value;
     const auto bytes = encode(table);
     bool outcome_unknown = false;
-    while (this->current_term == own) {
-        store_transaction change;
+    const auto era = own->term_revision.era();
+    while (this->current_term == own && this->state.store.era() == era) {
+        store_transaction change{.era = era};
         change.conditions = {{.key = key, .revision = managed.revision},
                              {.key = term_key, .revision = own->term_revision}};
-        change.writes = {{.key = key, .value = bytes, .lease = 0}};
+        change.writes = {{.key = key, .value = bytes}};
         const auto written = co_await this->state.store.commit(std::move(change), call_timeout);
-        if (const auto* revision = std::get_if<std::int64_t>(&written)) {
+        if (const auto* revision = std::get_if<store_revision>(&written)) {
             managed.revision = *revision;
             managed.manager.on_written(time_with_suspension());
             co_return;
         }
         const auto failure = std::get<store_failure>(written);
+        if (failure == store_failure::era_over) {
+            co_return;
+        }
         if (failure == store_failure::conflict) {
             const auto found = co_await this->state.store.read(key, call_timeout);
-            const auto* item = std::get_if<stored_value>(&found);
+            const auto* item = std::get_if<store_item>(&found);
+            if (this->state.store.era() != era) {
+                co_return;
+            }
             if (item != nullptr && outcome_unknown && item->value == bytes) {
                 managed.revision = item->revision;
                 managed.manager.on_written(time_with_suspension());
@@ -559,9 +679,9 @@
                            .resigned = true,
                            .hold = own->manager_settings.hold,
                            .former_orders = time_until(own->former_orders_end)};
-    store_transaction resignation;
+    store_transaction resignation{.era = own->term_revision.era()};
     resignation.conditions = {{.key = term_key, .revision = own->term_revision}};
-    resignation.writes = {{.key = term_key, .value = encode(last), .lease = 0}};
+    resignation.writes = {{.key = term_key, .value = encode(last)}};
     resignation.removals = {leader_key};
     co_await this->state.store.commit(std::move(resignation), call_timeout);
 }
@@ -615,7 +735,8 @@
 
 bool leadership::accept_offer(const leadership_transfer& offer)
 {
-    const bool known_term = offer.term >= this->state.cluster.term().term;
+    const bool known_term = offer.term >= this->state.cluster.term().term &&
+                            offer.term_revision.era() >= this->state.store.era();
     const bool may_lead =
         this->state.cluster.is_complete() && !this->resigning && !this->state.is_cut_off();
     if (this->current_term || this->accepted_term || !may_lead || !known_term) {
--- a/src/direct/runtime/peer_server.cpp
+++ b/src/direct/runtime/peer_server.cpp
@@ -152,6 +152,7 @@
         }
         co_return out;
     }
+    this->state.store.observe_era(follow->era);
     for (const auto& one : follow->loads) {
         this->leader.record_load(one.service, one.key, one.requests);
     }
@@ -167,6 +168,7 @@
         const auto now = monotonic_time::clock::now();
         update->server_loads = this->state.load_tracker.reports(now);
         update->rate_limits = this->state.rate_limits.reports(now);
+        update->era = this->state.store.era();
         out.body() = encode(*update);
     }
     co_return out;
--- a/src/direct/runtime/store_feed.cpp
+++ b/src/direct/runtime/store_feed.cpp
@@ -93,7 +93,8 @@
         else if (!position) {
             co_await this->load_snapshot(part);
         }
-        else if (monotonic_time::clock::now() < this->followed_until) {
+        else if (monotonic_time::clock::now() < this->followed_until ||
+                 this->waits_for_reload(*position)) {
             co_await sleep_for(this->state.io, follow_retry);
         }
         else {
@@ -102,6 +103,14 @@
     }
 }
 
+/// Whether this host keeps what it knows of an earlier era for a while, so that not all hosts read
+/// the store at once.
+bool store_feed::waits_for_reload(store_revision position) const
+{
+    return position.era() < this->state.store.era() && !this->state.leads &&
+           monotonic_time::clock::now() < this->state.reload_at;
+}
+
 asio::awaitable<void> store_feed::load_snapshot(store_part part)
 {
     const auto called_at = monotonic_time::clock::now();
@@ -117,7 +126,7 @@
     this->apply_snapshot(part, std::get<store_snapshot>(outcome));
 }
 
-asio::awaitable<void> store_feed::load_changes(store_part part, std::int64_t after)
+asio::awaitable<void> store_feed::load_changes(store_part part, store_revision after)
 {
     const auto called_at = monotonic_time::clock::now();
     const auto usual_wait = this->state.leads ? leader_watch_wait : watch_wait;
@@ -164,7 +173,7 @@
     if (!change.partial) {
         return platform::interpret_item(change);
     }
-    const auto delta = decode_key_table_delta(change.item.value);
+    const auto delta = decode_key_table_delta(change.item.value, change.item.revision.era());
     const auto* known = delta ? this->state.cluster.keys(delta->service) : nullptr;
     if (known == nullptr ||
         this->state.cluster.keys_revision(delta->service) != delta->base_revision) {
@@ -182,10 +191,11 @@
 {
     const auto* table = std::get_if<key_table_update>(&update);
     const auto* known = table != nullptr ? this->state.cluster.keys(table->table.service) : nullptr;
-    if (change.partial || known == nullptr) {
+    const auto base = table != nullptr ? this->state.cluster.keys_revision(table->table.service)
+                                       : store_revision{};
+    if (change.partial || known == nullptr || base.era() != change.item.revision.era()) {
         return change;
     }
-    const auto base = this->state.cluster.keys_revision(table->table.service);
     const auto delta = make_delta(*known, base, table->table);
     return {
         .item = {.key = change.item.key, .value = encode(delta), .revision = change.item.revision},
@@ -199,11 +209,15 @@
 /// Parsing a configuration is slow, so only the latest of several is parsed.
 void store_feed::apply(store_part part, store_changes changes)
 {
+    if (changes.whole) {
+        this->apply_listing(part, std::move(changes));
+        return;
+    }
     if (part == store_part::operators) {
         changes = newest_of_each_key(std::move(changes));
     }
     auto& own = this->parts[part];
-    const auto known = own.position.value_or(0);
+    const auto known = own.position.value_or(store_revision{});
     const auto now = monotonic_time::clock::now();
     store_changes forwarded{.changes = {}, .revision = changes.revision};
     std::vector<item_update> batch;
@@ -230,6 +244,20 @@
     own.position = std::max(known, changes.revision);
 }
 
+/// Applies the listing of a later era that the leader has sent.
+void store_feed::apply_listing(store_part part, store_changes listing)
+{
+    const auto& position = this->parts[part].position;
+    if (position && *position >= listing.revision) {
+        return;
+    }
+    store_snapshot snapshot{.items = {}, .revision = listing.revision};
+    for (auto& change : listing.changes) {
+        snapshot.items.push_back(std::move(change.item));
+    }
+    this->apply_snapshot(part, snapshot);
+}
+
 void store_feed::apply_snapshot(store_part part, const store_snapshot& snapshot)
 {
     std::vector<item_update> updates;
@@ -237,7 +265,7 @@
         updates.push_back(platform::interpret_item({.item = item}));
     }
     const auto now = monotonic_time::clock::now();
-    this->parts[part].log.restart(snapshot.revision, now);
+    this->parts[part].log.restart(snapshot, now);
     this->parts[part].position = snapshot.revision;
     this->publish(this->state.cluster.apply(part, updates, true, now));
 }
@@ -357,7 +385,9 @@
         .loads = this->take_loads(),
         .service_times = this->state.load_tracker.take_service_times(),
         .server_loads = this->state.load_tracker.take_own_reports(now),
-        .rate_limits = this->state.rate_limits.take_own_reports(now)};
+        .rate_limits = this->state.rate_limits.take_own_reports(now),
+        .era = this->state.store.era(),
+        .wants_listing = now >= this->state.reload_at};
     auto request = make_request(http::verb::post, "/follow", encode(poll_request));
     const auto timeout = this->follower_wait() + follow_response_margin;
     const auto result = co_await this->peers.call(leader.peer_address, std::move(request),
@@ -378,6 +408,7 @@
         log_event(log_level::warn, "peer_answer_unreadable", {{"peer", leader.host.value}});
         co_return false;
     }
+    this->state.store.observe_era(decoded->era);
     for (auto& part : decoded->parts) {
         this->apply(part.part, std::move(part.changes));
     }
@@ -397,7 +428,8 @@
         monotonic_time::clock::now() - leader_watch_wait - leader_watch_response_margin;
     follow_answer out;
     for (const auto& [part, revision] : request.positions) {
-        auto changes = this->parts.at(part).log.after(revision, confirmed_after);
+        auto changes =
+            this->parts.at(part).log.after(revision, confirmed_after, request.wants_listing);
         if (!changes) {
             return std::nullopt;
         }
--- a/src/direct/server_directory.cpp
+++ b/src/direct/server_directory.cpp
@@ -113,6 +113,11 @@
     this->grace_until = std::max(this->grace_until, now + this->settings.return_grace);
 }
 
+void server_directory::on_store_restored(monotonic_time now)
+{
+    this->grace_until = std::max(this->grace_until, now + this->settings.return_grace);
+}
+
 void server_directory::on_tick(monotonic_time now)
 {
     for (auto& [id, record] : this->known) {
--- a/test/direct/cluster_state_test.cpp
+++ b/test/direct/cluster_state_test.cpp
@@ -25,7 +25,7 @@
 {
     auto one = make_key_table({"lessons"});
     one.next_fence = next_fence;
-    return key_table_update{.table = std::move(one), .revision = revision};
+    return key_table_update{.table = std::move(one), .revision = {{}, revision}};
 }
 
 std::vector<std::string> apply(cluster_state& state, store_part part,
@@ -76,7 +76,7 @@
         if (row.lapsed <= row.queried_at) {
             (void)state.apply(store_part::own, {host("here")}, true, start + row.lapsed);
         }
-        state.on_tick(start + row.queried_at);
+        (void)state.on_tick(start + row.queried_at);
         const auto known = state.hosts_seen_within(milliseconds{10000}, start + row.queried_at);
         CHECK_EQUAL_TEXT(row.hosts, known ? static_cast<int>(known->size()) : -1, row.name);
         CHECK_EQUAL_TEXT(state.hosts().size(), state.host_count(), row.name);
@@ -104,6 +104,55 @@
     CHECK_TRUE(state.keys({"media"}) == nullptr);
 }
 
+/// In a store that was restored from a copy, an old table has a later revision.
+TEST(cluster_state_test, a_key_table_does_not_go_back_with_the_store)
+{
+    cluster_state state{{}};
+    apply(state, store_part::own, {table(7, 30)});
+    auto old = std::get<key_table_update>(table(5, 20));
+    old.revision = {store_era{1}, 5};
+    apply(state, store_part::own, {old}, true);
+    CHECK_EQUAL(30, state.keys({"lessons"})->next_fence);
+    CHECK_TRUE(state.keys_revision({"lessons"}) == (store_revision{{}, 7}));
+    auto next = std::get<key_table_update>(table(6, 31));
+    next.revision = {store_era{1}, 6};
+    apply(state, store_part::own, {next});
+    CHECK_EQUAL(31, state.keys({"lessons"})->next_fence);
+}
+
+struct unlisted_row {
+    const char* name;
+    bool written_again; ///< within the time that operators and servers take
+    bool out;           ///< whether the failure domain is out of service afterwards
+};
+
+const unlisted_row unlisted_rows[] = {
+    {"written again", true, true},
+    {"not written again", false, false},
+};
+
+TEST(cluster_state_test, what_a_restored_store_lacks_counts_until_it_is_written_again)
+{
+    for (const auto& row : unlisted_rows) {
+        cluster_state state{{}};
+        const domain_update hill{.domain = {"hill"}, .out = true};
+        apply(state, store_part::operators, {hill});
+        apply(state, store_part::servers, {server("a", 1)}, true);
+        state.on_store_restored(start);
+        apply(state, store_part::operators, {}, true);
+        apply(state, store_part::servers, {}, true);
+        CHECK_TRUE_TEXT(state.is_out({"hill"}), row.name);
+        CHECK_TRUE_TEXT(state.takes_new_work(*state.servers().find({"a"})), row.name);
+        if (row.written_again) {
+            apply(state, store_part::operators, {hill});
+            apply(state, store_part::servers, {server("a", 2)});
+        }
+        CHECK_EQUAL_TEXT(row.written_again, state.on_tick(start + seconds{3}).empty(), row.name);
+        CHECK_EQUAL_TEXT(row.out, state.is_out({"hill"}), row.name);
+        CHECK_EQUAL_TEXT(row.out, state.takes_new_work(*state.servers().find({"a"})), row.name);
+    }
+}
+
 TEST(cluster_state_test, is_complete_once_each_part_was_read)
 {
     cluster_state state{{}};
@@ -141,7 +190,7 @@
     CHECK_FALSE(state.has_leader());
     // Other hosts may still count the host, so shared limits include it for a while.
     CHECK_EQUAL(1, state.hosts().size());
-    state.on_tick(start + seconds{15});
+    (void)state.on_tick(start + seconds{15});
     CHECK_EQUAL(0, state.hosts().size());
 }
 
@@ -199,7 +248,8 @@
 {
     const auto item = [](const char* key, std::string value, bool removed = false) {
         return decode_own_item(
-            {.item = {.key = key, .value = std::move(value), .revision = 3}, .removed = removed});
+            {.item = {.key = key, .value = std::move(value), .revision = {{}, 3}},
+             .removed = removed});
     };
     CHECK_TRUE(std::get<leader_update>(item("figreach/leader", "h")).present);
     CHECK_FALSE(std::get<leader_update>(item("figreach/leader", "", true)).present);
@@ -209,5 +259,5 @@
     CHECK_TRUE(std::holds_alternative<unreadable_item>(item("figreach/term", "\xff")));
     CHECK_TRUE(std::holds_alternative<ignored_item>(item("figreach/else", "")));
     const auto found = item("figreach/keys/s", encode(make_key_table({"s"})));
-    CHECK_EQUAL(3, std::get<key_table_update>(found).revision);
+    CHECK_TRUE(std::get<key_table_update>(found).revision == (store_revision{{}, 3}));
 }
--- a/test/direct/follow_test.cpp
+++ b/test/direct/follow_test.cpp
@@ -11,11 +11,23 @@
 
 constexpr monotonic_time start{std::chrono::hours{1}};
 
+constexpr store_era first_era{1};
+
+store_revision at(std::int64_t number)
+{
+    return {first_era, number};
+}
+
+store_snapshot empty_at(std::int64_t number)
+{
+    return {.items = {}, .revision = at(number)};
+}
+
 store_changes changes(const std::vector<std::int64_t>& revisions, std::int64_t position)
 {
-    store_changes out{.changes = {}, .revision = position};
+    store_changes out{.changes = {}, .revision = at(position)};
     for (const auto revision : revisions) {
-        out.changes.push_back({.item = {.key = "k", .value = "v", .revision = revision}});
+        out.changes.push_back({.item = {.key = "k", .value = "v", .revision = at(revision)}});
     }
     return out;
 }
@@ -43,18 +55,18 @@
 TEST(follow_test, a_log_tells_what_came_after_a_revision)
 {
     change_log log;
-    CHECK_FALSE(log.after(0, start).has_value());
-    log.restart(10, start);
+    CHECK_FALSE(log.after(at(0), start, false).has_value());
+    log.restart(empty_at(10), start);
     log.add(changes({11, 13}, 13), start);
     // A slow watch delivers the same changes again.
     log.add(changes({11, 13, 14}, 15), start);
     for (const auto& row : after_rows) {
-        const auto later = log.after(row.after_revision, start + row.confirmed_after);
+        const auto later = log.after(at(row.after_revision), start + row.confirmed_after, false);
         CHECK_EQUAL_TEXT(row.change_count < 0, !later.has_value(), row.name);
         if (later) {
             CHECK_EQUAL_TEXT(static_cast<std::size_t>(row.change_count), later->changes.size(),
                              row.name);
-            CHECK_EQUAL_TEXT(15, later->revision, row.name);
+            CHECK_TRUE_TEXT(later->revision == at(15), row.name);
         }
     }
 }
@@ -62,40 +74,86 @@
 TEST(follow_test, of_configurations_only_the_newest_is_told)
 {
     change_log log{kept_changes::newest_of_each_key};
-    log.restart(10, start);
+    log.restart(empty_at(10), start);
     auto both = changes({11, 12}, 12);
-    both.changes.push_back({.item = {.key = "other", .value = "v", .revision = 12}});
+    both.changes.push_back({.item = {.key = "other", .value = "v", .revision = at(12)}});
     log.add(both, start);
     log.add(changes({14}, 15), start);
-    const auto later = log.after(10, start);
+    const auto later = log.after(at(10), start, false);
     CHECK_EQUAL(2, later->changes.size());
-    CHECK_EQUAL(12, later->changes[0].item.revision);
-    CHECK_EQUAL(14, later->changes[1].item.revision);
-    CHECK_EQUAL(15, later->revision);
-    CHECK_TRUE(log.after(14, start)->changes.empty());
+    CHECK_TRUE(later->changes[0].item.revision == at(12));
+    CHECK_TRUE(later->changes[1].item.revision == at(14));
+    CHECK_TRUE(later->revision == at(15));
+    CHECK_TRUE(log.after(at(14), start, false)->changes.empty());
     const auto newest = newest_of_each_key(changes({11, 12, 13}, 20));
     CHECK_EQUAL(1, newest.changes.size());
-    CHECK_EQUAL(13, newest.changes[0].item.revision);
-    CHECK_EQUAL(20, newest.revision);
+    CHECK_TRUE(newest.changes[0].item.revision == at(13));
+    CHECK_TRUE(newest.revision == at(20));
+}
+
+struct era_row {
+    const char* name;
+    store_revision known;
+    bool wants_listing;
+    std::optional<bool> whole; ///< whether the answer is a full listing; empty if there is none
+};
+
+const era_row era_rows[] = {
+    {"the same era", at(10), true, false},
+    {"an earlier era", {store_era{0}, 99}, true, true},
+    {"an earlier era, listing not wanted yet", {store_era{0}, 99}, false, false},
+    {"a later era than the log's", {store_era{2}, 1}, true, std::nullopt},
+};
+
+TEST(follow_test, a_log_lists_all_items_for_who_knows_an_earlier_era)
+{
+    for (const auto& row : era_rows) {
+        change_log log;
+        log.restart({.items = {{.key = "a", .value = "v", .revision = at(3)}}, .revision = at(10)},
+                    start);
+        log.add(changes({11}, 11), start);
+        const auto found = log.after(row.known, start, row.wants_listing);
+        CHECK_EQUAL_TEXT(row.whole.has_value(), found.has_value(), row.name);
+        if (!found) {
+            continue;
+        }
+        CHECK_EQUAL_TEXT(*row.whole, found->whole, row.name);
+        const bool is_unchanged = !*row.whole && row.known.era() < first_era;
+        CHECK_TRUE_TEXT(!is_unchanged || found->revision == row.known, row.name);
+        CHECK_TRUE_TEXT(!is_unchanged || found->changes.empty(), row.name);
+        CHECK_TRUE_TEXT(!found->whole || found->changes.front().item.key == "a", row.name);
+        CHECK_TRUE_TEXT(!found->whole || found->revision == at(10), row.name);
+    }
+}
+
+TEST(follow_test, a_log_without_the_oldest_changes_has_no_listing)
+{
+    change_log log;
+    log.restart(empty_at(0), start);
+    constexpr std::int64_t many = 5000;
+    for (std::int64_t revision = 1; revision <= many; ++revision) {
+        log.add(changes({revision}, revision), start);
+    }
+    CHECK_FALSE(log.after({store_era{0}, 7}, start, true).has_value());
 }
 
 TEST(follow_test, a_log_forgets_the_oldest_and_says_so)
 {
     change_log log;
-    log.restart(0, start);
+    log.restart(empty_at(0), start);
     constexpr std::int64_t many = 5000;
     for (std::int64_t revision = 1; revision <= many; ++revision) {
         log.add(changes({revision}, revision), start);
     }
-    CHECK_FALSE(log.after(1, start).has_value());
-    CHECK_EQUAL(100, log.after(many - 100, start)->changes.size());
+    CHECK_FALSE(log.after(at(1), start, false).has_value());
+    CHECK_EQUAL(100, log.after(at(many - 100), start, false)->changes.size());
 }
 
 TEST(follow_test, reads_what_it_wrote)
 {
     const follow_request request{
         .host = {"h"},
-        .positions = {{store_part::servers, 8}, {store_part::own, 9}},
+        .positions = {{store_part::servers, at(8)}, {store_part::own, at(9)}},
         .loads = {{.service = {"lessons"}, .key = 65535, .requests = 3}},
         .service_times = {
             {.server = {"a"}, .answers = 2, .total_time = std::chrono::microseconds{99}}}};
@@ -106,13 +164,13 @@
     CHECK_TRUE(read->service_times == request.service_times);
     const follow_answer answer{
         .parts = {{.part = store_part::operators,
-                   .changes = {.changes = {{.item = {.key = "k", .value = {}, .revision = 5},
+                   .changes = {.changes = {{.item = {.key = "k", .value = {}, .revision = at(5)},
                                             .removed = true}},
-                               .revision = 7}}}};
+                               .revision = at(7)}}}};
     const auto decoded = decode_follow_answer(encode(answer));
     CHECK_EQUAL(1, decoded->parts.size());
     CHECK_TRUE(decoded->parts[0].changes.changes[0].removed);
-    CHECK_EQUAL(7, decoded->parts[0].changes.revision);
+    CHECK_TRUE(decoded->parts[0].changes.revision == at(7));
 }
 
 TEST(follow_test, reads_rate_limits_that_it_wrote_and_ignores_invalid_ones)
@@ -138,11 +196,11 @@
     CHECK_FALSE(decode_leader_hint("").has_value());
     const leadership_transfer offer{
         .term = 4,
-        .lease = 77,
-        .term_revision = 12,
+        .lease = {.era = first_era, .id = 77},
+        .term_revision = at(12),
         .authority = milliseconds{900},
         .former_orders = milliseconds{3000},
-        .tables = {{.table = make_key_table({"lessons"}), .revision = 11}}};
+        .tables = {{.table = make_key_table({"lessons"}), .revision = at(11)}}};
     CHECK_TRUE(decode_leadership_transfer(encode(offer)) == offer);
     CHECK_FALSE(decode_leadership_transfer("").has_value());
     auto damaged = offer;
--- a/test/direct/key_grant_manager_test.cpp
+++ b/test/direct/key_grant_manager_test.cpp
@@ -373,6 +373,33 @@
     }
 }
 
+/// Guards against taking an entry of an earlier lifetime, as a restored store holds for a while,
+/// for the end of the owner.
+TEST(key_grant_manager_test, an_entry_of_an_earlier_lifetime_does_not_end_the_owner)
+{
+    auto table = owned_by_a();
+    table.ranges.front().owner_lifetime = 2;
+    scripted_servers simulation;
+    key_grant_manager manager{{}, table, start + milliseconds{4000}, start};
+    const auto waited = simulation.until_b_is_granted(manager, seconds{20});
+    CHECK_TRUE(waited.has_value());
+    CHECK_TRUE(*waited >= milliseconds{4000});
+}
+
+/// Guards against granting keys that a server unknown to the leader may still hold.
+TEST(key_grant_manager_test, keys_of_unknown_owners_wait_for_the_grants_of_earlier_leaders)
+{
+    auto table = make_key_table({"lessons"});
+    table.ranges.front().moving = true;
+    scripted_servers simulation;
+    simulation.servers.erase(simulation.servers.begin());
+    key_grant_manager manager{{}, table, start + milliseconds{7000}, start};
+    const auto waited = simulation.until_b_is_granted(manager, seconds{20});
+    CHECK_TRUE(waited.has_value());
+    CHECK_TRUE(*waited >= milliseconds{7000});
+    CHECK_TRUE(*waited <= milliseconds{7200});
+}
+
 TEST(key_grant_manager_test, keeps_keys_while_no_server_takes_them)
 {
     scripted_servers simulation;
--- a/test/direct/key_grant_simulation.h
+++ b/test/direct/key_grant_simulation.h
@@ -33,9 +33,12 @@
     milliseconds longest_write{300}; ///< until a leader learns that its table is stored
     bool leaders_change = true;
     bool servers_restart = true;
-    bool store_restored = false;  ///< the store comes back from copies of itself
-    bool leaders_resign = false;  ///< leaders resign, also soon after they took over
-    milliseconds authority{1500}; ///< how long a leader without the store goes on
+    bool store_restored = false; ///< the store comes back from copies of itself
+    /// Faults of the code under test, to show that the simulation finds them.
+    bool ignores_era = false;             ///< leaders take a restored store for the present one
+    bool takes_fences_from_store = false; ///< leaders count on from the fences in the store
+    bool leaders_resign = false;          ///< leaders resign, also soon after they took over
+    milliseconds authority{1500};         ///< how long a leader without the store goes on
     milliseconds faults{20000};
     milliseconds calm{15000}; ///< duration after the fault phase
     bool wait_for_former_orders = true;
@@ -70,7 +73,7 @@
         for (std::uint32_t i = 0; i < this->settings.servers; ++i) {
             this->servers.push_back({.name = "s" + std::to_string(i)});
         }
-        this->store.table = make_key_table({"lessons"});
+        this->store.revision = 0;
         this->start_leader();
     }
 
@@ -122,6 +125,7 @@
 private:
     /// What the store holds.
     struct contents {
+        store_era era{};
         key_table table;
         std::int64_t revision = 1;
         leader_term term;
@@ -129,7 +133,9 @@
     struct leader {
         std::uint64_t term = 0;
         std::int64_t revision = 0;
+        store_era era{};
         std::unique_ptr<key_grant_manager> manager;
+        std::optional<monotonic_time> continues_at; ///< when it claims a term of a new era
         monotonic_time authority_until = monotonic_time::max();
         monotonic_time former_orders_end{};
         bool cut_from_store = false;              ///< its writes have no effect and get no answer
@@ -163,33 +169,66 @@
             next_random(this->random_state) % static_cast<std::uint64_t>(most.count() + 1))};
     }
 
+    /// The era as the code under test sees it.
+    [[nodiscard]] store_era seen_era() const
+    {
+        return this->settings.ignores_era ? store_era{} : this->store.era;
+    }
+
     /// The time until grants of earlier leaders may last.
     [[nodiscard]] monotonic_time former_orders_end() const
     {
         if (!this->settings.wait_for_former_orders) {
             return this->now;
         }
-        const auto usual = former_orders_wait(this->store.term, false, {});
+        const auto usual = former_orders_wait({.stored = this->store.term}, this->seen_era(), {});
         const bool waits_for_authority = usual > outage_authority;
         return this->now + usual -
                (waits_for_authority ? outage_authority - this->settings.authority
                                     : milliseconds{0});
     }
 
+    /// A host that knows nothing but the store takes over.
     void start_leader()
     {
         const auto wait_until = this->former_orders_end();
-        this->store.term = {.term = this->store.term.term + 1,
+        const auto era = this->seen_era();
+        const auto fence_in_store = this->store.table.next_fence;
+        auto table = this->store.revision == 0 ? adopt_table({"lessons"}, std::nullopt, era)
+                                               : adopt_table({"lessons"}, this->store.table, era);
+        if (this->settings.takes_fences_from_store) {
+            table.next_fence = fence_in_store;
+        }
+        this->store.term = {.term = next_term(this->store.term.term, era),
                             .host = {"h" + std::to_string(this->leaders.size())},
                             .hold = grant_manager_settings{}.hold};
         leader next{.term = this->store.term.term,
                     .revision = this->store.revision,
+                    .era = this->store.era,
                     .former_orders_end = wait_until};
-        next.manager = std::make_unique<key_grant_manager>(
-            grant_manager_settings{}, this->store.table, wait_until, this->now);
+        next.manager = std::make_unique<key_grant_manager>(grant_manager_settings{},
+                                                           std::move(table), wait_until, this->now);
         this->leaders.push_back(std::move(next));
     }
 
+    /// Claims a term in a new era of the store unless another leader has, or the store is lost.
+    void continue_leading(leader& own)
+    {
+        own.continues_at.reset();
+        if (own.cut_from_store || this->store.term.term >= first_number_of(this->store.era)) {
+            own.authority_until = std::min(own.authority_until, this->now);
+            return;
+        }
+        own.manager->continue_in_new_era(first_number_of(this->store.era));
+        own.era = this->store.era;
+        own.term = next_term(own.term, own.era);
+        own.revision = ++this->store.revision;
+        own.written_at.reset();
+        this->store.term.term = own.term;
+        this->store.term.resigned = false;
+        this->store.table = own.manager->table();
+    }
+
     /// Partitions the current leader from the store. It continues for a while, and some servers may
     /// be reached by it alone.
     void change_leader()
@@ -218,14 +257,23 @@
         }
     }
 
-    /// Goes back by up to 5 s. The leader notices after a while.
+    /// Goes back by up to 5 s. The leader notices after a while; it may end or be cut off before.
     void restore_store()
     {
         const auto steps =
             static_cast<std::size_t>(this->time_up_to(max_copy_age) / simulation_step);
-        if (steps < this->copies.size()) {
-            this->store = this->copies[this->copies.size() - 1 - steps];
-            this->copies.clear();
+        if (steps >= this->copies.size()) {
+            return;
+        }
+        const auto era = store_era{static_cast<std::uint64_t>(this->store.era) + 1};
+        this->store = this->copies[this->copies.size() - 1 - steps];
+        this->store.era = era;
+        this->copies.clear();
+        if (!this->settings.ignores_era) {
+            this->leaders.back().continues_at = this->now + this->time_up_to(milliseconds{700});
+        }
+        if (this->chance(0.3)) {
+            this->change_leader();
         }
     }
 
@@ -271,6 +319,9 @@
         if (this->now >= own.authority_until) {
             return;
         }
+        if (own.continues_at && this->now >= *own.continues_at) {
+            this->continue_leading(own);
+        }
         if (own.written_at && this->now >= *own.written_at) {
             own.written_at.reset();
             own.manager->on_written(this->now);
@@ -296,7 +347,7 @@
     /// A write takes effect if there is no newer leader and the known revision is current.
     void write(leader& own, const key_table& table)
     {
-        if (own.cut_from_store) {
+        if (own.cut_from_store || own.continues_at) {
             return;
         }
         if (own.term != this->store.term.term || own.revision != this->store.revision) {
--- a/test/direct/key_table_delta_test.cpp
+++ b/test/direct/key_table_delta_test.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr store_era era{3};
+
 /// Returns a table whose ranges are split at random keys.
 key_table random_table(std::uint64_t& state, std::uint64_t next_fence)
 {
@@ -42,8 +44,8 @@
         std::uint64_t state = seed;
         const auto older = random_table(state, 50);
         const auto newer = random_table(state, 90);
-        const auto delta = make_delta(older, 7, newer);
-        const auto decoded = decode_key_table_delta(encode(delta));
+        const auto delta = make_delta(older, {era, 7}, newer);
+        const auto decoded = decode_key_table_delta(encode(delta), era);
         RC_ASSERT(decoded == delta);
         RC_ASSERT(apply_delta(older, *decoded) == newer);
     });
@@ -53,20 +55,20 @@
 {
     std::uint64_t state = 3;
     const auto older = random_table(state, 50);
-    CHECK_TRUE(make_delta(older, 7, older).changed.empty());
+    CHECK_TRUE(make_delta(older, {era, 7}, older).changed.empty());
     auto newer = older;
     newer.ranges[1].moving = !newer.ranges[1].moving;
-    CHECK_EQUAL(1, make_delta(older, 7, newer).changed.size());
+    CHECK_EQUAL(1, make_delta(older, {era, 7}, newer).changed.size());
 }
 
 TEST(key_table_delta_test, refuses_what_does_not_fit)
 {
     const auto table = make_key_table({"lessons"});
-    auto delta = make_delta(table, 1, table);
+    auto delta = make_delta(table, {era, 1}, table);
     delta.service = {"media"};
     CHECK_FALSE(apply_delta(table, delta).has_value());
     delta.service = {"lessons"};
     delta.changed = {{.keys = {.first = 5, .last = 9}}};
     CHECK_FALSE(apply_delta(table, delta).has_value());
-    CHECK_FALSE(decode_key_table_delta("\xff").has_value());
+    CHECK_FALSE(decode_key_table_delta("\xff", era).has_value());
 }
--- a/test/direct/leadership_test.cpp
+++ b/test/direct/leadership_test.cpp
@@ -34,8 +34,8 @@
 leadership_transfer offer_of(std::uint64_t term)
 {
     return {.term = term,
-            .lease = 1,
-            .term_revision = 1,
+            .lease = {.id = 1},
+            .term_revision = {{}, 1},
             .authority = seconds{5},
             .former_orders = milliseconds{0},
             .tables = {}};
--- a/test/direct/path_fixture.h
+++ b/test/direct/path_fixture.h
@@ -250,8 +250,8 @@
         (void)cluster.apply(store_part::operators, {configuration_update{all}}, true, now);
         (void)cluster.apply(store_part::servers, {entry("s1", "lessons"), entry("m1", "media")},
                             true, now);
-        (void)cluster.apply(store_part::own, {key_table_update{.table = table, .revision = 1}},
-                            true, now);
+        (void)cluster.apply(store_part::own,
+                            {key_table_update{.table = table, .revision = {{}, 1}}}, true, now);
     }
 
     asio::awaitable<void> accept()
--- a/test/direct/restored_store_test.cpp
+++ b/test/direct/restored_store_test.cpp
@@ -21,3 +21,42 @@
                        RC_ASSERT(simulation.unowned_for_a_second() == 0U);
                    });
 }
+
+/// Guards against an earlier wait being cut short by a resignation in the new era.
+TEST(restored_store_test, one_owner_when_leaders_resign_and_the_store_goes_back)
+{
+    CHECK_PROPERTY("one owner, rising fences, and all keys owned in the end",
+                   [](std::uint64_t seed) {
+                       key_grant_simulation simulation{{.seed = seed,
+                                                        .store_restored = true,
+                                                        .leaders_resign = true,
+                                                        .authority = outage_authority,
+                                                        .calm = seconds{30}}};
+                       simulation.run();
+                       RC_ASSERT(simulation.double_owners == 0U);
+                       RC_ASSERT(simulation.fences_not_above == 0U);
+                       RC_ASSERT(simulation.unowned_for_a_second() == 0U);
+                   });
+}
+
+/// Checks that the simulation detects violations: each row breaks one rule of a new era.
+TEST(restored_store_test, the_simulation_detects_leaders_that_mistake_the_era)
+{
+    const std::pair<const char*, simulation_settings> rows[] = {
+        {"the era is ignored", {.store_restored = true, .ignores_era = true}},
+        {"fences are counted on from the store",
+         {.store_restored = true, .takes_fences_from_store = true}},
+    };
+    for (const auto& [name, broken] : rows) {
+        std::uint32_t violations = 0;
+        constexpr std::uint64_t seeds = 40;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            auto settings = broken;
+            settings.seed = seed;
+            key_grant_simulation simulation{settings};
+            simulation.run();
+            violations += simulation.double_owners + simulation.fences_not_above;
+        }
+        CHECK_TRUE_TEXT(violations > 0, name);
+    }
+}
--- a/test/platform/store_codec_test.cpp
+++ b/test/platform/store_codec_test.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+constexpr store_era era{2};
+
 constexpr auto item =
     R"({"key":"my/leader","value":"bm9kZS0x","revision":412,"created_at":412,"lease_id":77120})";
 
@@ -66,40 +68,42 @@
 
 TEST(store_codec_test, reads_items)
 {
-    const auto read = decode_item(item);
+    const auto read = decode_item(item, era);
     STRCMP_EQUAL("my/leader", read->key.c_str());
     STRCMP_EQUAL("node-1", read->value.c_str());
-    CHECK_EQUAL(412, read->revision);
+    CHECK_TRUE(read->revision == (store_revision{era, 412}));
     for (const auto& row : malformed_items) {
-        CHECK_FALSE_TEXT(decode_item(row.body).has_value(), row.body);
+        CHECK_FALSE_TEXT(decode_item(row.body, era).has_value(), row.body);
     }
 }
 
 TEST(store_codec_test, reads_pages_and_changes)
 {
-    const auto page =
-        decode_item_page(std::string{R"({"items":[)"} + item + R"(],"has_more":true,"as_of":530})");
+    const auto page = decode_item_page(
+        std::string{R"({"items":[)"} + item + R"(],"has_more":true,"as_of":530})", era);
     CHECK_EQUAL(1, page->part.items.size());
     CHECK_TRUE(page->more);
-    CHECK_EQUAL(530, page->part.revision);
-    CHECK_FALSE(decode_item_page(R"({"items":[{}],"as_of":530})").has_value());
-    CHECK_FALSE(decode_item_page(R"({"items":{},"as_of":530})").has_value());
-    CHECK_FALSE(decode_item_page(R"({"items":[]})").has_value());
+    CHECK_TRUE(page->part.revision == (store_revision{era, 530}));
+    CHECK_FALSE(decode_item_page(R"({"items":[{}],"as_of":530})", era).has_value());
+    CHECK_FALSE(decode_item_page(R"({"items":{},"as_of":530})", era).has_value());
+    CHECK_FALSE(decode_item_page(R"({"items":[]})", era).has_value());
     const auto changes =
         decode_changes(std::string{R"({"events":[)"} + item +
-                       R"(,{"key":"my/old","revision":413,"removed":true}],"as_of":413})");
+                           R"(,{"key":"my/old","revision":413,"removed":true}],"as_of":413})",
+                       era);
     CHECK_EQUAL(2, changes->changes.size());
     CHECK_FALSE(changes->changes[0].removed);
     CHECK_TRUE(changes->changes[1].removed);
-    CHECK_EQUAL(413, changes->revision);
-    CHECK_FALSE(decode_changes(R"({"events":[{"key":"k"}],"as_of":1})").has_value());
+    CHECK_TRUE(changes->revision == (store_revision{era, 413}));
+    CHECK_FALSE(decode_changes(R"({"events":[{"key":"k"}],"as_of":1})", era).has_value());
 }
 
 TEST(store_codec_test, writes_transactions)
 {
-    const store_transaction what{.conditions = {{.key = "a", .revision = 0}},
-                                 .writes = {{.key = "a", .value = "node-1", .lease = 77}},
-                                 .removals = {"b"}};
+    const store_transaction what{
+        .conditions = {{.key = "a", .revision = {era, 0}}},
+        .writes = {{.key = "a", .value = "node-1", .lease = {.era = era, .id = 77}}},
+        .removals = {"b"}};
     const auto expected = json::parse(
         R"({"precondition":[{"key":"a","revision":0}],
             "writes":[{"key":"a","value":"bm9kZS0x","lease_id":77}],"delete":["b"]})");
@@ -110,21 +114,21 @@
 {
     CHECK_PROPERTY("any bytes", [](const std::string& value) {
         const store_transaction what{
-            .conditions = {}, .writes = {{.key = "k", .value = value, .lease = 0}}, .removals = {}};
+            .conditions = {}, .writes = {{.key = "k", .value = value}}, .removals = {}};
         const auto written = json::parse(encode_transaction(what)).at("writes").at(0);
         auto read = written.as_object();
         read["revision"] = 1;
-        RC_ASSERT(decode_item(json::serialize(read))->value == value);
+        RC_ASSERT(decode_item(json::serialize(read), era)->value == value);
     });
 }
 
 TEST(store_codec_test, survives_any_bytes)
 {
     CHECK_PROPERTY("no crash", [](const std::string& bytes) {
-        (void)decode_item(bytes);
-        (void)decode_item_page(bytes);
-        (void)decode_changes(bytes);
-        (void)decode_new_revision(bytes);
+        (void)decode_item(bytes, era);
+        (void)decode_item_page(bytes, era);
+        (void)decode_changes(bytes, era);
+        (void)decode_new_revision(bytes, era);
         (void)decode_lease_id(bytes);
     });
 }
@@ -139,7 +143,7 @@
 {
     const auto interpret = [](const char* key, const char* value, bool removed) {
         return interpret_item(
-            {.item = {.key = key, .value = value, .revision = 1}, .removed = removed});
+            {.item = {.key = key, .value = value, .revision = {era, 1}}, .removed = removed});
     };
     CHECK_TRUE(std::get<domain_update>(interpret("op/evacuate/kl-a", "{}", false)).out);
     CHECK_FALSE(std::get<domain_update>(interpret("op/evacuate/kl-a", "", true)).out);
--- a/test/soak/standin_test.cpp
+++ b/test/soak/standin_test.cpp
@@ -12,8 +12,8 @@
 
 direct::store_transaction write_of(const char* key, std::int64_t revision, std::int64_t lease = 0)
 {
-    return {.conditions = {{.key = key, .revision = revision}},
-            .writes = {{.key = key, .value = "value", .lease = lease}},
+    return {.conditions = {{.key = key, .revision = {{}, revision}}},
+            .writes = {{.key = key, .value = "value", .lease = {.id = lease}}},
             .removals = {}};
 }
 
@@ -39,7 +39,7 @@
 {
     store_model store;
     const auto first = store.commit(write_of("a", 0), start);
-    CHECK_TRUE(std::holds_alternative<std::int64_t>(first));
+    CHECK_TRUE(std::holds_alternative<direct::store_revision>(first));
     const auto conflict = store.commit(write_of("a", 0), start);
     CHECK_TRUE(std::get<direct::store_failure>(conflict) == direct::store_failure::conflict);
     const auto no_lease = store.commit(write_of("b", 0, 99), start);
@@ -52,7 +52,8 @@
 {
     store_model store;
     const auto lease = store.open_lease(seconds{1}, start);
-    CHECK_TRUE(std::holds_alternative<std::int64_t>(store.commit(write_of("a", 0, lease), start)));
+    CHECK_TRUE(std::holds_alternative<direct::store_revision>(
+        store.commit(write_of("a", 0, lease), start)));
     CHECK_TRUE(store.renew_lease(lease, start + milliseconds{900}));
     store.expire(start + milliseconds{1800});
     CHECK_TRUE(store.find("a").has_value());
@@ -65,7 +66,8 @@
 TEST(standin_test, items_without_a_lease_stay_when_a_lease_that_is_not_there_ends)
 {
     store_model store;
-    CHECK_TRUE(std::holds_alternative<std::int64_t>(store.commit(write_of("a", 0), start)));
+    CHECK_TRUE(
+        std::holds_alternative<direct::store_revision>(store.commit(write_of("a", 0), start)));
     for (const std::int64_t id : {0, 7}) {
         store.end_lease(id);
         CHECK_TRUE(store.find("a").has_value());
@@ -76,7 +78,8 @@
 {
     store_model store;
     const auto before = store.revision();
-    CHECK_TRUE(std::holds_alternative<std::int64_t>(store.commit(write_of("a", 0), start)));
+    CHECK_TRUE(
+        std::holds_alternative<direct::store_revision>(store.commit(write_of("a", 0), start)));
     store.drop_history();
     CHECK_FALSE(store.changes_after("a", before).has_value());
     CHECK_TRUE(store.changes_after("a", store.revision()).has_value());
@@ -104,8 +107,8 @@
         const auto later = start + seconds{2};
         for (int i = 0; i < 5; ++i) {
             const auto revision = store.find(row.key);
-            static_cast<void>(
-                store.commit(write_of(row.key, revision ? revision->item.revision : 0), later));
+            static_cast<void>(store.commit(
+                write_of(row.key, revision ? revision->item.revision.number().value : 0), later));
         }
         const auto lost_lease = store.open_lease(seconds{9}, later);
         const auto last = store.revision();
