Log why a send to a server was lost

The line of a lost send named the status 200 of an empty answer instead of the error, in all 63 of them in the record of the crashing request. It names the error now, so that a connection that was reset can be told from an answer that cannot be passed on.

--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -457,7 +457,8 @@
     this->state.path.on_finished();
     const auto latency = monotonic_time::clock::now() - now;
     if (result.outcome != exchange_outcome::answered || is_server_error(result.answer)) {
-        const bool answered = result.answer.result() != http::status::unknown;
+        const bool answered = result.outcome == exchange_outcome::answered ||
+                              result.outcome == exchange_outcome::not_run;
         this->log_send(request, to, name_of(result.outcome),
                        answered ? std::to_string(result.answer.result_int()) : result.detail);
     }
