--- a/src/direct/runtime/direct_host.cpp
+++ b/src/direct/runtime/direct_host.cpp
@@ -190,6 +190,8 @@
         [this] { return this->state.store.calls(); });
     add("store_calls_failed_total", "Calls to the platform's store without an answer.",
         metric_type::counter, [this] { return this->state.store.failures(); });
+    add("store_era", "How often the platform's store came back from an older copy.",
+        metric_type::gauge, [this] { return static_cast<std::uint64_t>(this->state.store.era()); });
     add("requests_in_flight", "Requests under way.", metric_type::gauge,
         [this] { return std::uint64_t{this->state.in_flight}; });
     add("servers_with_rate_limit", "Backend servers that name a limit of requests per second.",
