Reproduce two more second owners: an earlier leader first in a new era, and a late entry of a restarted server

A leader that was cut off from the store while another led may be the first to claim a term of a new era.

A server that starts again under its id and address takes renewals that are meant for its former lifetime until the leader has read its new entry. The soak cannot show it, since its servers take a new id at each start.

--- a/test/direct/key_grant_simulation.h
+++ b/test/direct/key_grant_simulation.h
@@ -34,6 +34,10 @@
     bool leaders_change = true;
     bool servers_restart = true;
     bool store_restored = false; ///< the store comes back from copies of itself
+    /// Until the entry of a server that has restarted shows its lifetime.
+    milliseconds longest_entry_delay{0};
+    /// A leader that was cut off from the store reaches it again when it comes back from a copy.
+    bool former_leaders_continue = false;
     /// Faults of the code under test, to show that the simulation finds them.
     bool ignores_era = false;             ///< leaders take a restored store for the present one
     bool takes_fences_from_store = false; ///< leaders count on from the fences in the store
@@ -50,6 +54,8 @@
     std::uint64_t lifetime = 1;
     bool up = true;
     bool takes_keys = true;
+    std::uint64_t entry_lifetime = 1; ///< the lifetime in its entry, until `entry_due`
+    monotonic_time entry_due{};
     /// Later leaders do not reach the server until `reached_again`.
     std::size_t last_leader = std::numeric_limits<std::size_t>::max();
     monotonic_time reached_again{};
@@ -272,6 +278,12 @@
         if (!this->settings.ignores_era) {
             this->leaders.back().continues_at = this->now + this->time_up_to(milliseconds{700});
         }
+        if (this->settings.former_leaders_continue) {
+            for (auto& own : this->leaders) {
+                own.cut_from_store = false;
+                own.continues_at = this->now + this->time_up_to(milliseconds{700});
+            }
+        }
         if (this->chance(0.3)) {
             this->change_leader();
         }
@@ -293,7 +305,10 @@
             server = {.name = server.name,
                       .lifetime = server.lifetime + 1,
                       .up = this->chance(0.5),
-                      .takes_keys = true};
+                      .takes_keys = true,
+                      .entry_lifetime = this->lifetime_in_entry(server),
+                      .entry_due =
+                          this->now + this->time_up_to(this->settings.longest_entry_delay)};
         }
         if (this->chance(0.003)) {
             auto& server = this->servers.at(next_random(this->random_state) % this->servers.size());
@@ -301,6 +316,11 @@
         }
     }
 
+    [[nodiscard]] std::uint64_t lifetime_in_entry(const simulated_server& server) const
+    {
+        return this->now < server.entry_due ? server.entry_lifetime : server.lifetime;
+    }
+
     void repair()
     {
         for (auto& server : this->servers) {
@@ -329,9 +349,8 @@
         std::vector<key_server> known;
         for (const auto& server : this->servers) {
             known.push_back({.id = {server.name},
-                             .lifetime = server.lifetime,
+                             .lifetime = this->lifetime_in_entry(server),
                              .address = server.name,
-
                              .takes_keys = server.takes_keys});
         }
         for (const auto& action : own.manager->on_tick(known, this->loads, this->now)) {
