Let only the last leader of an era go on in the next one

A leader that was cut off from the store while another led may be the first to reach the store after it came back from a copy.

A leader goes on in a new era only if its lease lasted until it saw that era: nobody else can have led before. Otherwise it steps down, and the next leader waits for all grants that anybody may have given.

--- a/include/figreach/direct/runtime/host_context.h
+++ b/include/figreach/direct/runtime/host_context.h
@@ -81,6 +81,7 @@
     std::map<service_id, retry_budget> retry_budgets;
     std::uint64_t random_state;
     std::optional<store_era> known_era; ///< latest era of the store
+    monotonic_time era_seen_at{};       ///< when it was first seen, including time spent suspended
     /// When this host loads again what it knows of the store's former era, at the latest.
     monotonic_time reload_at{};
     bool store_reachable = true;
--- a/include/figreach/direct/runtime/leadership.h
+++ b/include/figreach/direct/runtime/leadership.h
@@ -52,6 +52,7 @@
     struct term_state {
         std::uint64_t term = 0;
         store_lease lease;
+        monotonic_time lease_until{}; ///< the lease lasts at least until then
         store_revision term_revision;
         monotonic_time authority_until{};   ///< no order is sent after this time
         monotonic_time former_orders_end{}; ///< see key_grant_manager
@@ -118,8 +119,4 @@
     bool resigning = false;
 };
 
-/// The steady clock including time spent suspended, so that a leader's authority also expires
-/// while the machine is suspended.
-[[nodiscard]] monotonic_time time_with_suspension();
-
 } // namespace figreach::direct
--- a/include/figreach/direct/takeover.h
+++ b/include/figreach/direct/takeover.h
@@ -39,6 +39,10 @@
 [[nodiscard]] milliseconds former_orders_wait(const predecessor& former, store_era era,
                                               const grant_manager_settings& settings);
 
+/// Whether a leader was the last one of an era of the store that is over: its lease lasted at least
+/// until `lease_until`, and it saw the next era at `seen_at`.
+[[nodiscard]] bool is_latest_of_era(monotonic_time lease_until, monotonic_time seen_at);
+
 /// Returns a transaction that claims the term `next` under `lease`, provided that the items of the
 /// leader and of the term still have the given revisions.
 [[nodiscard]] store_transaction make_term_claim(const leader_term& next, const store_lease& lease,
--- a/src/direct/runtime/host_context.cpp
+++ b/src/direct/runtime/host_context.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <random>
 
+#include "figreach/direct/runtime/suspension_clock.h"
 #include "figreach/runtime/log.h"
 
 namespace figreach::direct {
@@ -106,6 +107,7 @@
         this->cluster_changed.notify();
     }
     this->known_era = era;
+    this->era_seen_at = time_with_suspension();
 }
 
 void host_context::record_server_connected()
--- a/src/direct/runtime/leadership.cpp
+++ b/src/direct/runtime/leadership.cpp
@@ -1,12 +1,12 @@
 #include "figreach/direct/runtime/leadership.h"
 
 #include <algorithm>
-#include <ctime>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "figreach/direct/runtime/suspension_clock.h"
 #include "figreach/direct/takeover.h"
 #include "figreach/key_hash.h"
 #include "figreach/runtime/log.h"
@@ -66,13 +66,6 @@
 
 } // namespace
 
-monotonic_time time_with_suspension()
-{
-    timespec now{};
-    clock_gettime(CLOCK_BOOTTIME, &now);
-    return monotonic_time{seconds{now.tv_sec} + nanoseconds{now.tv_nsec}};
-}
-
 leadership::leadership(host_context& state_) : state{state_}, order_client{state_.io} {}
 
 void leadership::start()
@@ -257,7 +250,8 @@
     own->term_revision = *revision;
     own->manager_settings = manager_settings;
     own->former_hold = std::max(former.hold, manager_settings.hold);
-    own->authority_until = sent_at + lease_duration + outage_authority;
+    own->lease_until = sent_at + lease_duration;
+    own->authority_until = own->lease_until + outage_authority;
     const predecessor before{.stored = former,
                              .known_term = known.term,
                              .was_self = former.host == this->state.settings.name &&
@@ -358,7 +352,8 @@
             co_return;
         }
         if (!failure) {
-            own->authority_until = sent_at + lease_duration + outage_authority;
+            own->lease_until = sent_at + lease_duration;
+            own->authority_until = own->lease_until + outage_authority;
         }
     }
 }
@@ -368,10 +363,15 @@
     return own.term_revision.era() < this->state.store.era();
 }
 
-/// Claims a new term in the new era and writes the tables of this leader again: until its authority
-/// ends no other host has given later grants, so its tables are the present ones.
+/// Claims a new term in the new era and writes the tables of this leader again. They are the
+/// present ones if its lease lasted until the store went back, since nobody else can have led
+/// before.
 asio::awaitable<void> leadership::continue_in_new_era(std::shared_ptr<term_state> own)
 {
+    if (!is_latest_of_era(own->lease_until, this->state.era_seen_at)) {
+        this->step_down(own, "era_over");
+        co_return;
+    }
     while (this->current_term == own && this->is_of_earlier_era(*own)) {
         const auto sent_at = time_with_suspension();
         const auto opened = co_await this->state.store.open_lease(lease_duration, call_timeout);
@@ -394,7 +394,8 @@
         own->term = claim->term;
         own->lease = *lease;
         own->term_revision = *revision;
-        own->authority_until = sent_at + lease_duration + outage_authority;
+        own->lease_until = sent_at + lease_duration;
+        own->authority_until = own->lease_until + outage_authority;
         for (auto& item : own->services) {
             item.second.revision = *revision;
         }
--- a/src/direct/takeover.cpp
+++ b/src/direct/takeover.cpp
@@ -45,6 +45,11 @@
     return ended ? std::max(last_grant, stored.former_orders) : last_grant + outage_authority;
 }
 
+bool is_latest_of_era(monotonic_time lease_until, monotonic_time seen_at)
+{
+    return seen_at < lease_until;
+}
+
 store_transaction make_term_claim(const leader_term& next, const store_lease& lease,
                                   store_revision leader, store_revision term)
 {
--- a/test/direct/key_grant_simulation.h
+++ b/test/direct/key_grant_simulation.h
@@ -144,6 +144,7 @@
         std::optional<monotonic_time> continues_at; ///< when it claims a term of a new era
         monotonic_time authority_until = monotonic_time::max();
         monotonic_time former_orders_end{};
+        monotonic_time lease_until = monotonic_time::max();
         bool cut_from_store = false;              ///< its writes have no effect and get no answer
         std::optional<monotonic_time> written_at; ///< when it learns of its last write
     };
@@ -221,7 +222,8 @@
     void continue_leading(leader& own)
     {
         own.continues_at.reset();
-        if (own.cut_from_store || this->store.term.term >= first_number_of(this->store.era)) {
+        if (own.cut_from_store || !is_latest_of_era(own.lease_until, this->restored_at) ||
+            this->store.term.term >= first_number_of(this->store.era)) {
             own.authority_until = std::min(own.authority_until, this->now);
             return;
         }
@@ -240,6 +242,7 @@
     void change_leader()
     {
         this->leaders.back().authority_until = this->now + this->settings.authority;
+        this->leaders.back().lease_until = this->now;
         if (this->settings.leaders_resign) {
             this->leaders.back().cut_from_store = true;
             auto& server = this->servers.at(next_random(this->random_state) % this->servers.size());
@@ -274,6 +277,7 @@
         const auto era = store_era{static_cast<std::uint64_t>(this->store.era) + 1};
         this->store = this->copies[this->copies.size() - 1 - steps];
         this->store.era = era;
+        this->restored_at = this->now;
         this->copies.clear();
         if (!this->settings.ignores_era) {
             this->leaders.back().continues_at = this->now + this->time_up_to(milliseconds{700});
@@ -540,6 +544,7 @@
     std::vector<pending_answer> answers;
     observed_loads loads{.recent = key_loads{{}}, .usual = key_loads{{}}};
     contents store;
+    monotonic_time restored_at{};
     std::array<monotonic_time, sampled_keys> last_held{};
     std::vector<contents> copies; ///< one of each step since the last restore
 };
