--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -123,7 +123,9 @@
         out.push_back(next);
         at += milliseconds{draw(2 * static_cast<std::uint64_t>(settings.mean_interval.count()))};
     }
-    add_restores(out, settings);
+    if (settings.store_restores) {
+        add_restores(out, settings);
+    }
     return out;
 }
 
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -48,6 +48,7 @@
     std::uint64_t seed = 1;
     milliseconds earliest_start{1500};        ///< no fault starts earlier
     milliseconds latest_start{12000};         ///< no fault starts at this time or later
+    bool store_restores = true;               ///< whether the store comes back from copies
     milliseconds mean_restore_interval{4000}; ///< between two restores of the store
     milliseconds mean_interval{350}; ///< between the starts of two faults, which may overlap
     milliseconds min_duration{300};  ///< of faults that have a duration
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -50,6 +50,8 @@
         "number of concurrent callers");
     add("fault-seconds", options::value<std::int64_t>()->default_value(12),
         "period in which faults start");
+    add("no-restores", options::bool_switch(&out.no_restores),
+        "the store never comes back from a copy; the other faults of a seed stay the same");
     add("ignore-fences", options::bool_switch(&out.servers_ignore_fences),
         "backend servers keep released keys, so that the checks must fail");
     add("expect-broken", options::bool_switch(&line.expect_broken),
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -221,8 +221,9 @@
         asio::co_spawn(this->io, this->run_caller(), asio::detached);
     }
     const auto begun = monotonic_time::clock::now();
-    const auto plan =
-        make_plan({.seed = this->settings.seed, .latest_start = this->settings.fault_time});
+    const auto plan = make_plan({.seed = this->settings.seed,
+                                 .latest_start = this->settings.fault_time,
+                                 .store_restores = !this->settings.no_restores});
     auto end = begun;
     auto next = plan.begin();
     while (next != plan.end() || monotonic_time::clock::now() < end) {
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -28,6 +28,7 @@
     std::uint32_t callers = 16;
     milliseconds fault_time{12000};     ///< period in which faults start
     milliseconds recovery_time{6000};   ///< after faults ended and hosts had time to restart
+    bool no_restores = false;           ///< the store never comes back from a copy
     bool servers_ignore_fences = false; ///< violates the fencing contract, so that checks must fail
     std::filesystem::path program;
     std::filesystem::path folder; ///< for settings and logs
--- a/test/soak/fault_plan_test.cpp
+++ b/test/soak/fault_plan_test.cpp
@@ -31,6 +31,22 @@
     CHECK_EQUAL(static_cast<std::size_t>(fault_kind::kinds), seen.size());
 }
 
+TEST(fault_plan_test, leaves_the_other_faults_as_they_are_without_restores)
+{
+    constexpr std::uint64_t seeds = 50;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        auto all = make_plan({.seed = seed});
+        std::erase_if(all, [](const auto& one) { return one.kind == fault_kind::store_restored; });
+        const auto plan = make_plan({.seed = seed, .store_restores = false});
+        CHECK_EQUAL(all.size(), plan.size());
+        CHECK_TRUE(std::equal(
+            all.begin(), all.end(), plan.begin(), [](const auto& left, const auto& right) {
+                return left.kind == right.kind && left.at == right.at &&
+                       left.target == right.target && left.duration == right.duration;
+            }));
+    }
+}
+
 TEST(fault_plan_test, names_each_kind)
 {
     std::set<std::string> names;
