Play orders that leave late, late answers, cut connections and restarts under the same id

The simulation had slow_orders, which nothing used. Orders name that id only, so they reach the next life.

--- a/test/direct/key_grant_manager_test.cpp
+++ b/test/direct/key_grant_manager_test.cpp
@@ -137,6 +137,93 @@
     }
 }
 
+struct lifetime_row {
+    const char* name = "";
+    std::uint64_t in_table = 1;    ///< lifetime of the owner, as a leader before knew it
+    std::uint64_t known = 1;       ///< lifetime in the entry that this leader knows first
+    std::uint64_t known_later = 1; ///< and from 50 ms on
+    bool takes_keys = true;
+    order_outcome grants = order_outcome::done; ///< from 50 ms on; earlier grants are accepted
+    milliseconds former_orders{0};
+    milliseconds least{0}; ///< until the next owner gets a grant
+};
+
+const lifetime_row lifetime_rows[] = {
+    {"a grant that the next life took under the id of the first", 1, 1, 2, true,
+     order_outcome::no_answer, milliseconds{0}, whole_hold},
+    {"the same for a server that leaves", 1, 1, 2, false, order_outcome::no_answer, milliseconds{0},
+     whole_hold},
+    {"a grant of an earlier leader that the next life took", 1, 2, 2, true,
+     order_outcome::no_answer, milliseconds{3000}, milliseconds{3000}},
+    {"a list of servers that is older than the table", 2, 1, 1, false, order_outcome::no_answer,
+     milliseconds{3000}, milliseconds{3000}},
+    {"another server at an address that is older than the table", 2, 1, 1, false,
+     order_outcome::other_server, milliseconds{3000}, milliseconds{3000}},
+};
+
+/// A server that starts again under its id takes grants that were meant for its former process. It
+/// holds the keys when a leader learns of the start.
+TEST(key_grant_manager_test, waits_for_grants_that_another_life_of_the_owner_took)
+{
+    constexpr milliseconds learned{50};
+    const observed_loads loads{.recent = key_loads{{}}, .usual = key_loads{{}}};
+    for (const auto& row : lifetime_rows) {
+        auto table = owned_by_a();
+        table.ranges.front().owner_lifetime = row.in_table;
+        key_grant_manager manager{{}, table, start + row.former_orders, start};
+        auto servers = two_servers();
+        std::optional<milliseconds> given_on;
+        for (milliseconds at{0}; at < seconds{8} && !given_on; at += step) {
+            servers[0].lifetime = at < learned ? row.known : row.known_later;
+            servers[0].takes_keys = at < learned || row.takes_keys;
+            for (const auto& action : manager.on_tick(servers, loads, start + at)) {
+                const auto* order = std::get_if<send_order>(&action);
+                if (order == nullptr) {
+                    manager.on_written(start + at);
+                    continue;
+                }
+                if (order->server.value == "b") {
+                    given_on = at;
+                    break;
+                }
+                const bool accepted = at < learned && row.grants == order_outcome::no_answer &&
+                                      row.former_orders == milliseconds{0};
+                manager.on_answer(order->call,
+                                  {.outcome = accepted ? order_outcome::done : row.grants},
+                                  start + at);
+            }
+        }
+        CHECK_TRUE_TEXT(given_on.has_value(), row.name);
+        CHECK_TRUE_TEXT(*given_on >= row.least, row.name);
+    }
+}
+
+/// The next life of an owner that answers keeps the keys, without a wait.
+TEST(key_grant_manager_test, gives_a_new_fence_to_an_owner_that_started_again)
+{
+    const observed_loads loads{.recent = key_loads{{}}, .usual = key_loads{{}}};
+    key_grant_manager manager{{}, owned_by_a(), start + seconds{9}, start};
+    auto servers = two_servers();
+    servers[0].lifetime = 2;
+    std::optional<milliseconds> given_on;
+    for (milliseconds at{0}; at < milliseconds{400}; at += step) {
+        for (const auto& action : manager.on_tick(servers, loads, start + at)) {
+            const auto* order = std::get_if<send_order>(&action);
+            if (order == nullptr) {
+                manager.on_written(start + at);
+                continue;
+            }
+            const auto* grant = std::get_if<grant_keys>(&order->order);
+            const bool renewed = grant != nullptr && grant->fence > 4;
+            given_on = renewed && order->server.value == "a" ? given_on.value_or(at) : given_on;
+            manager.on_answer(order->call, {.outcome = order_outcome::done}, start + at);
+        }
+    }
+    CHECK_TRUE(given_on.has_value());
+    CHECK_TRUE(*given_on <= milliseconds{100});
+    CHECK_EQUAL(2, manager.table().ranges.front().owner_lifetime);
+}
+
 struct renewal_row {
     const char* name = "";
     order_outcome renewal = order_outcome::done;
@@ -414,8 +501,8 @@
                    });
 }
 
-/// Half of the orders are lost during the fault phase. Intended to also cover orders that a leader
-/// short of CPU time sends late, but the simulation does not use slow_orders.
+/// Half of the orders are lost during the fault phase, and a leader short of CPU time sends many of
+/// the others late.
 TEST(key_grant_manager_test, one_owner_when_orders_leave_late)
 {
     CHECK_PROPERTY("one owner", [](std::uint64_t seed) {
--- a/test/direct/key_grant_simulation.h
+++ b/test/direct/key_grant_simulation.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "figreach/direct/key_grant_manager.h"
@@ -20,6 +21,7 @@
 inline constexpr std::uint32_t sampled_keys = 64;
 inline constexpr std::uint32_t keys_per_sample = key_count / sampled_keys;
 inline constexpr milliseconds simulation_step{10};
+inline constexpr milliseconds answer_time{5};
 inline constexpr milliseconds max_copy_age{5000}; ///< of copies that the store comes back from
 
 struct simulation_settings {
@@ -29,7 +31,12 @@
     double lost_orders = 0.1; ///< probability during the fault phase
     double lost_answers = 0.1;
     double late_orders = 0.1;        ///< executed seconds later, without an answer
-    double slow_orders = 0.1;        ///< not used by the simulation
+    double slow_orders = 0.1;        ///< leave the leader late, since it is short of CPU time
+    milliseconds latest_leave{1000}; ///< of slow orders, after they were decided
+    double slow_answers = 0.1;       ///< arrive late, but within the timeout of the order
+    double cuts = 0.002;             ///< of kept connections, in one direction, started each step
+    milliseconds longest_cut{3000};
+    milliseconds longest_news{0};    ///< until a leader learns that a server has restarted
     milliseconds longest_write{300}; ///< until a leader learns that its table is stored
     bool leaders_change = true;
     bool servers_restart = true;
@@ -47,6 +54,8 @@
     std::uint64_t lifetime = 1;
     bool up = true;
     bool takes_keys = true;
+    /// Starts of later lives, so that leaders learn of them at different times.
+    std::vector<std::pair<std::uint64_t, monotonic_time>> restarts;
     /// Later leaders do not reach the server until `reached_again`.
     std::size_t last_leader = std::numeric_limits<std::size_t>::max();
     monotonic_time reached_again{};
@@ -132,6 +141,7 @@
         std::unique_ptr<key_grant_manager> manager;
         monotonic_time authority_until = monotonic_time::max();
         monotonic_time former_orders_end{};
+        milliseconds news{0};                     ///< until it learns of a restart
         bool cut_from_store = false;              ///< its writes have no effect and get no answer
         std::optional<monotonic_time> written_at; ///< when it learns of its last write
     };
@@ -141,8 +151,25 @@
         send_order action;
         std::uint64_t lifetime = 0; ///< of the server that the order was sent to
         monotonic_time arrival;
+        monotonic_time deadline;
+        monotonic_time answer_from; ///< no answer arrives earlier
         bool answered = true;
     };
+    struct slow_order {
+        monotonic_time at;
+        monotonic_time deadline;
+        std::size_t leader = 0;
+        send_order action;
+    };
+    /// Connections of a leader to a server that were open when the cut began. An order that is held
+    /// back ends with its connection, and a later one takes a new connection.
+    struct connection_cut {
+        std::size_t leader = 0;
+        std::string server;
+        bool to_server = true;
+        std::uint32_t connections = 0; ///< that are still kept
+        monotonic_time until;
+    };
     struct pending_answer {
         monotonic_time at;
         std::size_t leader = 0;
@@ -184,7 +211,8 @@
                             .hold = grant_manager_settings{}.hold};
         leader next{.term = this->store.term.term,
                     .revision = this->store.revision,
-                    .former_orders_end = wait_until};
+                    .former_orders_end = wait_until,
+                    .news = this->time_up_to(this->settings.longest_news)};
         next.manager = std::make_unique<key_grant_manager>(
             grant_manager_settings{}, this->store.table, wait_until, this->now);
         this->leaders.push_back(std::move(next));
@@ -242,10 +270,16 @@
         }
         if (this->settings.servers_restart && this->chance(0.003)) {
             auto& server = this->servers.at(next_random(this->random_state) % this->servers.size());
+            auto restarts = std::move(server.restarts);
+            restarts.emplace_back(server.lifetime + 1, this->now);
             server = {.name = server.name,
                       .lifetime = server.lifetime + 1,
                       .up = this->chance(0.5),
-                      .takes_keys = true};
+                      .takes_keys = true,
+                      .restarts = std::move(restarts)};
+        }
+        if (this->chance(this->settings.cuts)) {
+            this->cut_connections();
         }
         if (this->chance(0.003)) {
             auto& server = this->servers.at(next_random(this->random_state) % this->servers.size());
@@ -257,7 +291,7 @@
     {
         for (auto& server : this->servers) {
             if (!server.up) {
-                ++server.lifetime;
+                server.restarts.emplace_back(++server.lifetime, this->now);
             }
             server.up = true;
             server.takes_keys = true;
@@ -265,6 +299,30 @@
         }
     }
 
+    void cut_connections()
+    {
+        constexpr std::uint32_t most_kept = 4;
+        const auto& server =
+            this->servers.at(next_random(this->random_state) % this->servers.size());
+        this->cuts.push_back({.leader = this->leaders.size() - 1,
+                              .server = server.name,
+                              .to_server = this->chance(0.5),
+                              .connections = 1 + static_cast<std::uint32_t>(
+                                                     next_random(this->random_state) % most_kept),
+                              .until = this->now + this->time_up_to(this->settings.longest_cut)});
+    }
+
+    /// The lifetime of a server as a leader knows it.
+    [[nodiscard]] std::uint64_t known_lifetime(const simulated_server& server,
+                                               const leader& own) const
+    {
+        std::uint64_t out = 1;
+        for (const auto& [lifetime, at] : server.restarts) {
+            out = this->now >= at + own.news ? lifetime : out;
+        }
+        return out;
+    }
+
     void tick(std::size_t index)
     {
         auto& own = this->leaders[index];
@@ -278,7 +336,7 @@
         std::vector<key_server> known;
         for (const auto& server : this->servers) {
             known.push_back({.id = {server.name},
-                             .lifetime = server.lifetime,
+                             .lifetime = this->known_lifetime(server, own),
                              .address = server.name,
 
                              .takes_keys = server.takes_keys});
@@ -309,35 +367,103 @@
     }
 
     void send(std::size_t index, const send_order& action)
+    {
+        if (this->faulty && this->chance(this->settings.slow_orders)) {
+            this->leaving.push_back(
+                {.at = this->now + this->time_up_to(this->settings.latest_leave),
+                 .deadline = this->now + action.timeout,
+                 .leader = index,
+                 .action = action});
+            return;
+        }
+        this->transmit(index, action, this->now + action.timeout);
+    }
+
+    /// A leader may be stopped after it last looked at the deadline. One that has lost its
+    /// authority is assumed to have looked just before.
+    void send_slow_orders()
+    {
+        const auto due = [this](const auto& one) { return one.at <= this->now; };
+        auto left = std::vector<slow_order>{};
+        std::copy_if(this->leaving.begin(), this->leaving.end(), std::back_inserter(left), due);
+        std::erase_if(this->leaving, due);
+        for (const auto& one : left) {
+            const bool leads = this->now < this->leaders[one.leader].authority_until;
+            if (this->now >= one.deadline && !leads) {
+                this->answer_later(one.leader, one.action.call,
+                                   {.outcome = order_outcome::not_sent}, milliseconds{0});
+                continue;
+            }
+            this->transmit(one.leader, one.action, std::max(one.deadline, this->now));
+        }
+    }
+
+    /// Returns the cut that holds back the next order or answer, if there is one.
+    const connection_cut* cut_for(std::size_t index, const std::string& server)
+    {
+        for (auto& one : this->cuts) {
+            const bool holds = one.leader == index && one.server == server && one.connections > 0 &&
+                               this->now < one.until;
+            if (holds) {
+                --one.connections;
+                return &one;
+            }
+        }
+        return nullptr;
+    }
+
+    void transmit(std::size_t index, const send_order& action, monotonic_time deadline)
     {
         const auto server =
             std::find_if(this->servers.begin(), this->servers.end(),
                          [&](const auto& one) { return one.name == action.address; });
-        const bool cut = index > server->last_leader && this->now < server->reached_again;
-        const bool lost =
-            !server->up || cut || (this->faulty && this->chance(this->settings.lost_orders));
+        const auto left = std::chrono::ceil<milliseconds>(deadline - this->now);
+        const bool unreached = index > server->last_leader && this->now < server->reached_again;
+        const auto* held = this->cut_for(index, server->name);
+        const bool held_to = held != nullptr && held->to_server;
+        const bool held_from = held != nullptr && !held->to_server;
+        const bool lost = !server->up || unreached || (held_to && held->until >= deadline) ||
+                          (this->faulty && this->chance(this->settings.lost_orders));
         if (lost) {
-            this->answer_later(index, action.call, {.outcome = order_outcome::no_answer},
-                               action.timeout);
+            this->answer_later(index, action.call, {.outcome = order_outcome::no_answer}, left);
             return;
         }
-        const auto arrival = this->now + this->time_up_to(milliseconds{20});
+        const auto arrival =
+            (held_to ? held->until : this->now) + this->time_up_to(milliseconds{20});
         const bool late = this->faulty && this->chance(this->settings.late_orders);
         const auto at =
-            late ? arrival + milliseconds{2000} + this->time_up_to(milliseconds{8000}) : arrival;
-        const bool answered = !late && !(this->faulty && this->chance(this->settings.lost_answers));
+            late ? arrival + milliseconds{2000} + this->time_up_to(milliseconds{10000}) : arrival;
+        const bool answer_held = held_from && held->until >= deadline;
+        const bool answered = !late && !answer_held && at + answer_time < deadline &&
+                              !(this->faulty && this->chance(this->settings.lost_answers));
         this->pending_orders.push_back({.at = at,
                                         .leader = index,
                                         .action = action,
                                         .lifetime = server->lifetime,
                                         .arrival = arrival,
+                                        .deadline = deadline,
+                                        .answer_from = held_from ? held->until : this->now,
                                         .answered = answered});
         if (!answered) {
-            this->answer_later(index, action.call, {.outcome = order_outcome::no_answer},
-                               action.timeout);
+            // The connection is reset at the deadline, but on a stopped host not before `arrival`.
+            this->answer_later(
+                index, action.call, {.outcome = order_outcome::no_answer},
+                std::max(left, std::chrono::ceil<milliseconds>(arrival - this->now)));
         }
     }
 
+    /// When the answer to an order that is executed now arrives.
+    milliseconds time_to_answer(const pending_order& one)
+    {
+        const auto latest = std::chrono::floor<milliseconds>(one.deadline - this->now);
+        auto out =
+            std::max(answer_time, std::chrono::ceil<milliseconds>(one.answer_from - this->now));
+        if (this->faulty && out < latest && this->chance(this->settings.slow_answers)) {
+            out += this->time_up_to(latest - out);
+        }
+        return out;
+    }
+
     void answer_later(std::size_t index, std::uint64_t call, order_answer answer, milliseconds in)
     {
         this->answers.push_back(
@@ -346,6 +472,7 @@
 
     void deliver()
     {
+        this->send_slow_orders();
         const auto due = [this](const auto& one) { return one.at <= this->now; };
         auto arrived = std::vector<pending_order>{};
         std::copy_if(this->pending_orders.begin(), this->pending_orders.end(),
@@ -385,7 +512,7 @@
             answer.handover = server->name;
         }
         if (one.answered) {
-            this->answer_later(one.leader, one.action.call, answer, milliseconds{5});
+            this->answer_later(one.leader, one.action.call, answer, this->time_to_answer(one));
         }
     }
 
@@ -468,6 +595,8 @@
     std::vector<leader> leaders;
     std::vector<pending_order> pending_orders;
     std::vector<pending_answer> answers;
+    std::vector<slow_order> leaving; ///< decided, but not sent yet
+    std::vector<connection_cut> cuts;
     observed_loads loads{.recent = key_loads{{}}, .usual = key_loads{{}}};
     contents store;
     std::array<monotonic_time, sampled_keys> last_held{};
