Wait for grants that the next life of an owner took

Cause: orders name the id of a server, not its process. A server that starts again under its id takes renewals meant for the process before, but a later lifetime in its entry counted as proof that it holds nothing, and its keys went to another server at once. A leader whose list of servers was older than the table took the owner for ended in the same way, and so did the answer of another server at an address from before the restart.

Change: a later lifetime frees the keys only when the grants sent to the id have run out; until then the new process keeps them under a new fence. An earlier lifetime than that in the table shows nothing.

--- a/include/figreach/direct/key_grant_manager.h
+++ b/include/figreach/direct/key_grant_manager.h
@@ -143,7 +143,9 @@
     [[nodiscard]] milliseconds hold_for_move(const range_state& state, monotonic_time now) const;
     [[nodiscard]] bool is_unresponsive(const backend_server_id& id) const;
     [[nodiscard]] bool is_replaced(const backend_server_id& id, std::uint64_t lifetime) const;
-    [[nodiscard]] bool has_ended(const key_range& range, const key_server* owner) const;
+    [[nodiscard]] static bool has_restarted(const key_range& range, const key_server* owner);
+    [[nodiscard]] bool has_ended(const key_range& range, const key_server* owner,
+                                 monotonic_time now) const;
     [[nodiscard]] std::vector<key_server> exclude_unavailable(std::vector<key_server> servers,
                                                               monotonic_time now) const;
 
@@ -157,6 +159,7 @@
     [[nodiscard]] bool more_keys_pending(std::size_t free) const;
     [[nodiscard]] const range_state* state_of_unchanged(const key_range& range) const;
     void renew_fences(key_table& draft) const;
+    void adopt_restarted(key_table& draft, const std::vector<key_server>& servers) const;
     void drop_used_tokens(key_table& draft) const;
     void move_from_unavailable(key_table& draft, const std::vector<key_server>& servers) const;
     void balance(key_table& draft, const std::vector<key_server>& servers,
--- a/src/direct/key_grant_manager.cpp
+++ b/src/direct/key_grant_manager.cpp
@@ -112,11 +112,29 @@
     return found != this->replaced.end() && found->second == lifetime;
 }
 
-/// Whether the process that was granted the keys is known to have ended, so that it holds none.
-bool key_grant_manager::has_ended(const key_range& range, const key_server* owner) const
+/// Whether the owner runs again under its id. The list of servers may also be older than the table.
+bool key_grant_manager::has_restarted(const key_range& range, const key_server* owner)
 {
-    return this->is_replaced(range.owner, range.owner_lifetime) ||
-           (owner != nullptr && (owner->ended || owner->lifetime != range.owner_lifetime));
+    return owner != nullptr && owner->lifetime > range.owner_lifetime;
+}
+
+/// Whether the process that was granted the keys is known to have ended, and no later one with its
+/// id holds them. Orders name the id only, so the next life may have taken a grant meant for it.
+bool key_grant_manager::has_ended(const key_range& range, const key_server* owner,
+                                  monotonic_time now) const
+{
+    if (this->is_replaced(range.owner, range.owner_lifetime)) {
+        return true;
+    }
+    if (owner == nullptr || owner->lifetime < range.owner_lifetime) {
+        return false;
+    }
+    if (owner->ended) {
+        return true;
+    }
+    const auto& state = this->states.at(range.keys.first);
+    const auto held_until = owner->takes_keys ? state.latest_hold_end() : state.held_until;
+    return has_restarted(range, owner) && this->is_settled(range) && now >= held_until;
 }
 
 /// Sends the next order about one range if it is due.
@@ -128,11 +146,11 @@
     if (range.owner.empty() || state.released || in_flight || now < state.next_order) {
         return;
     }
-    if (this->has_ended(range, owner)) {
+    if (this->has_ended(range, owner, now)) {
         state.released = true;
         return;
     }
-    if (owner == nullptr || state.needs_fence) {
+    if (owner == nullptr || has_restarted(range, owner) || state.needs_fence) {
         return;
     }
     if (range.moving && state.granted) {
@@ -342,7 +360,8 @@
         state.needs_fence = true;
         break;
     case order_outcome::other_server:
-        state.released = true;
+        // An address from before the owner started again tells nothing about the owner.
+        state.released = call.lifetime >= range.owner_lifetime;
         break;
     case order_outcome::not_sent:
     case order_outcome::rejected:
@@ -410,8 +429,8 @@
             continue;
         }
         const auto& state = this->states.at(former.keys.first);
-        const bool same_holder =
-            former.owner == range.owner && former.owner_lifetime == range.owner_lifetime;
+        // The next life of an owner may have taken what was meant for the one before.
+        const bool same_holder = former.owner == range.owner;
         if (former.fence == range.fence && former.keys.first == range.keys.first) {
             return state;
         }
@@ -441,6 +460,7 @@
     auto draft = this->current;
     this->place_free_keys(draft, servers, loads, now);
     this->renew_fences(draft);
+    this->adopt_restarted(draft, servers);
     this->move_from_unavailable(draft, servers);
     if (draft == this->current) {
         this->balance(draft, servers, loads, now);
@@ -482,7 +502,7 @@
     for (const auto& range : this->current.ranges) {
         const auto& state = this->states.at(range.keys.first);
         const bool ended =
-            state.released || this->has_ended(range, find_server(servers, range.owner));
+            state.released || this->has_ended(range, find_server(servers, range.owner), now);
         const bool expired =
             range.moving && this->is_settled(range) && now >= state.latest_hold_end();
         if (range.owner.empty() || ended || expired) {
@@ -537,6 +557,21 @@
     }
 }
 
+/// Gives the keys of owners that run again under their ids to the new processes, which may hold
+/// them already. A move that had begun goes on with the new process.
+void key_grant_manager::adopt_restarted(key_table& draft,
+                                        const std::vector<key_server>& servers) const
+{
+    for (auto& range : draft.ranges) {
+        const auto* owner = find_server(servers, range.owner);
+        if (this->state_of_unchanged(range) != nullptr && has_restarted(range, owner)) {
+            range.owner_lifetime = owner->lifetime;
+            range.fence = draft.next_fence++;
+            range.handover.clear();
+        }
+    }
+}
+
 /// Moves keys away from servers that leave, have ended, are out of service or do not answer.
 void key_grant_manager::move_from_unavailable(key_table& draft,
                                               const std::vector<key_server>& servers) const
