Bound grants of former leaders by the longest hold of any leader

Cause: once the owner had taken the fence of a move, grants of former leaders were counted as over after the hold of this leader. A leader of 39 hosts grants for 2.8 s, one of 40 hosts before it for 3.4 s, so that keys went to the next owner up to 0.6 s early when the release stayed without an answer. The bound is now 3.4 s. The new row of moves_keys_of_a_leaving_server broke before: keys were given on after less than 3468 ms.

--- a/include/figreach/direct/key_grant_manager.h
+++ b/include/figreach/direct/key_grant_manager.h
@@ -20,6 +20,7 @@
     milliseconds hold{2800};          ///< validity of a grant; derived in docs/platform.md
     milliseconds renew_interval{600}; ///< leader failover takes less than hold - renew_interval
     milliseconds large_fleet_renew_interval{1200}; ///< halves the renewals; hold grows equally
+    milliseconds longest_hold{3400};       ///< of leaders before, whose fleet may have been large
     std::size_t large_fleet = 40;          ///< number of entry hosts from which a fleet is large
     milliseconds retry_interval{150};      ///< delay after an unanswered order
     milliseconds avoid_unresponsive{2000}; ///< how long an unresponsive server gets no keys
--- a/src/direct/key_grant_manager.cpp
+++ b/src/direct/key_grant_manager.cpp
@@ -349,7 +349,8 @@
             // An owner that has seen the fence of a move accepts no earlier grants, so grants of
             // earlier leaders end no later than one that arrives now. This does not hold for a
             // renewal, since an earlier leader may renew the same grant after it.
-            const auto latest = this->hold_end(this->settings.hold, now);
+            const auto longest = std::max(this->settings.hold, this->settings.longest_hold);
+            const auto latest = this->hold_end(longest, now);
             state.held_until = std::max(state.held_until, std::min(state.former_until, latest));
             state.former_until = {};
         }
--- a/test/direct/key_grant_manager_test.cpp
+++ b/test/direct/key_grant_manager_test.cpp
@@ -96,6 +96,10 @@
      whole_hold - milliseconds{700},
      whole_hold + milliseconds{600},
      ""},
+    // It may have renewed a grant of 3.4 s just before the takeover.
+    {"the release is not answered after a leader of a large fleet", order_outcome::done,
+     order_outcome::no_answer, false, milliseconds{3968}, milliseconds{3468}, milliseconds{4200},
+     ""},
     {"an earlier leader may still order", order_outcome::not_sent, order_outcome::not_sent, false,
      milliseconds{9000}, milliseconds{9000}, milliseconds{9200}, ""},
     {"another server has the address",
@@ -387,6 +391,7 @@
     for (const auto& row : fleet_rows) {
         const auto settings = for_fleet({}, row.hosts, row.max_hold);
         CHECK_TRUE_TEXT(settings.hold == row.hold, row.name);
+        CHECK_TRUE_TEXT(settings.hold <= settings.longest_hold, row.name);
         CHECK_TRUE_TEXT(settings.renew_interval == row.renew_interval, row.name);
     }
 }
