Wait for a former leader's renewal to a server that started again and does not answer

The row "the owner has restarted" let keys of such a server go at once while an earlier leader might still renew them for 9 s. That is wrong: the renewal names the id only and the new process takes it (restarted_server_test, case 20: two owners).

--- a/src/direct/key_grant_manager.cpp
+++ b/src/direct/key_grant_manager.cpp
@@ -133,8 +133,7 @@
         return true;
     }
     const auto& state = this->states.at(range.keys.first);
-    const auto held_until = owner->takes_keys ? state.latest_hold_end() : state.held_until;
-    return has_restarted(range, owner) && this->is_settled(range) && now >= held_until;
+    return has_restarted(range, owner) && this->is_settled(range) && now >= state.latest_hold_end();
 }
 
 /// Sends the next order about one range if it is due.
