--- a/include/figreach/direct/key_grant_manager.h
+++ b/include/figreach/direct/key_grant_manager.h
@@ -20,6 +20,7 @@
     milliseconds hold{2800};          ///< validity of a grant; derived in docs/platform.md
     milliseconds renew_interval{600}; ///< leader failover takes less than hold - renew_interval
     milliseconds large_fleet_renew_interval{1200}; ///< halves the renewals; hold grows equally
+    milliseconds longest_hold{3400};       ///< of leaders before, whose fleet may have been large
     std::size_t large_fleet = 40;          ///< number of entry hosts from which a fleet is large
     milliseconds retry_interval{150};      ///< delay after an unanswered order
     milliseconds avoid_unresponsive{2000}; ///< how long an unresponsive server gets no keys
@@ -146,7 +147,9 @@
     [[nodiscard]] milliseconds hold_for_move(const range_state& state, monotonic_time now) const;
     [[nodiscard]] bool is_unresponsive(const backend_server_id& id) const;
     [[nodiscard]] bool is_replaced(const backend_server_id& id, std::uint64_t lifetime) const;
-    [[nodiscard]] bool has_ended(const key_range& range, const key_server* owner) const;
+    [[nodiscard]] static bool has_restarted(const key_range& range, const key_server* owner);
+    [[nodiscard]] bool has_ended(const key_range& range, const key_server* owner,
+                                 monotonic_time now) const;
     [[nodiscard]] std::vector<key_server> exclude_unavailable(std::vector<key_server> servers,
                                                               monotonic_time now) const;
 
@@ -160,6 +163,7 @@
     [[nodiscard]] bool more_keys_pending(std::size_t free) const;
     [[nodiscard]] const range_state* state_of_unchanged(const key_range& range) const;
     void renew_fences(key_table& draft) const;
+    void adopt_restarted(key_table& draft, const std::vector<key_server>& servers) const;
     void drop_used_tokens(key_table& draft) const;
     void move_from_unavailable(key_table& draft, const std::vector<key_server>& servers) const;
     void balance(key_table& draft, const std::vector<key_server>& servers,
