Learn the era of a term that is taken over

A host that has not heard of a new era of the store may be offered a term of it. It accepted, but its loop for table writes runs only while the known era is the one of the term: the first write ended without a result, the manager went on waiting for it, and no key moved for the rest of that era.

The host now learns the era with the offer. The new test fails without the change.

--- a/src/direct/runtime/leadership.cpp
+++ b/src/direct/runtime/leadership.cpp
@@ -743,6 +743,8 @@
     if (this->current_term || this->accepted_term || !may_lead || !known_term) {
         return false;
     }
+    // Writes and renewals of this term need its era to be the known one.
+    this->state.store.observe_era(offer.term_revision.era());
     const auto now = time_with_suspension();
     const auto& term = this->state.cluster.term();
     auto settings = this->current_settings();
--- a/test/direct/leadership_test.cpp
+++ b/test/direct/leadership_test.cpp
@@ -120,6 +120,20 @@
     }
 }
 
+/// Guards against a leader that writes no tables since it takes the era of its term for a later one
+/// than that of the store.
+TEST(leadership_test, knows_the_era_of_a_term_that_it_takes_over)
+{
+    idle_host host;
+    complete(host.state.cluster, 3);
+    host.state.store.observe_era(store_era{1});
+    auto offer = offer_of(3);
+    offer.term_revision = {store_era{2}, 1};
+    offer.lease = {.era = store_era{2}, .id = 1};
+    CHECK_TRUE(host.leader.accept_offer(offer));
+    CHECK_TRUE(host.state.store.era() == store_era{2});
+}
+
 /// Guards against a leader whose grants reach no server, so that all keys lapse while other hosts
 /// could lead.
 TEST(leadership_test, a_host_that_alone_reaches_no_server_does_not_lead)
