--- a/include/figreach/direct/runtime/leadership.h
+++ b/include/figreach/direct/runtime/leadership.h
@@ -114,6 +114,7 @@
     std::shared_ptr<term_state> current_term;  ///< null if this host does not lead
     std::shared_ptr<term_state> accepted_term; ///< handed over by another host, not started
     std::optional<leader_hint> successor_hint;
+    std::uint64_t handed_over_term = 0; ///< the latest one; another host may lead in it
     /// Until when grants of leaders before this host's last term may last.
     monotonic_time earlier_orders_end{};
     bool resigning = false;
--- a/include/figreach/direct/takeover.h
+++ b/include/figreach/direct/takeover.h
@@ -33,6 +33,8 @@
     leader_term stored;           ///< the latest term in the store
     std::uint64_t known_term = 0; ///< the highest term that this process has seen
     bool was_self = false;        ///< this process led in the stored term
+    /// The latest term that this process has handed over to another host; 0 if none.
+    std::uint64_t handed_over_term = 0;
 };
 
 /// Returns for how long grants of earlier leaders may last from the moment of a takeover.
--- a/src/direct/runtime/leadership.cpp
+++ b/src/direct/runtime/leadership.cpp
@@ -255,7 +255,8 @@
     const predecessor before{.stored = former,
                              .known_term = known.term,
                              .was_self = former.host == this->state.settings.name &&
-                                         former.host_lifetime == this->state.lifetime};
+                                         former.host_lifetime == this->state.lifetime,
+                             .handed_over_term = this->handed_over_term};
     own->former_orders_end =
         std::max(time_with_suspension() + former_orders_wait(before, era, manager_settings),
                  this->earlier_orders_end);
@@ -268,8 +269,10 @@
          {"former", latest.host.value},
          {"former_resigned", latest.resigned ? "true" : "false"},
          {"former_orders_ms", milliseconds_text(own->former_orders_end - time_with_suspension())}});
-    if (!latest.host.empty() && !latest.resigned && latest.host != this->state.settings.name) {
-        asio::co_spawn(this->state.io, this->notify_former_leader(own, latest.host),
+    const bool was_handed_over = latest.term == this->handed_over_term && this->successor_hint;
+    const auto former_host = was_handed_over ? this->successor_hint->host : latest.host;
+    if (!former_host.empty() && !latest.resigned && former_host != this->state.settings.name) {
+        asio::co_spawn(this->state.io, this->notify_former_leader(own, former_host),
                        asio::detached);
     }
     co_return own;
@@ -632,9 +635,6 @@
             co_return;
         }
         const auto failure = std::get<store_failure>(written);
-        if (failure == store_failure::era_over) {
-            co_return;
-        }
         if (failure == store_failure::conflict) {
             const auto found = co_await this->state.store.read(key, call_timeout);
             const auto* item = std::get_if<store_item>(&found);
@@ -727,7 +727,9 @@
         if (taken) {
             this->successor_hint = next;
         }
-        if (taken || (failure != nullptr && *failure == call_failure::no_answer)) {
+        const bool may_lead = taken || (failure != nullptr && *failure == call_failure::no_answer);
+        if (may_lead) {
+            this->handed_over_term = own->term;
             co_return true;
         }
     }
--- a/src/direct/takeover.cpp
+++ b/src/direct/takeover.cpp
@@ -41,7 +41,8 @@
     const bool is_latest = stored.term >= former.known_term && stored.term >= first_number_of(era);
     // A leader that has ended may have handed over its term; only a recorded resignation, or this
     // process having led itself, rules that out.
-    const bool ended = is_latest && (stored.resigned || former.was_self);
+    const bool led_to_the_end = former.was_self && stored.term != former.handed_over_term;
+    const bool ended = is_latest && (stored.resigned || led_to_the_end);
     return ended ? std::max(last_grant, stored.former_orders) : last_grant + outage_authority;
 }
 
