Close the stand-ins' sockets in host processes of the soak

A backend server that had crashed or left could not listen on its address again: every host process, started while the stand-ins were listening, inherited their sockets and kept them open. The exception of the restart was lost in its coroutine, so the server counted as up and had neither a registry entry nor a listener until the run ended. For the same reason a reset of a connection that was open when a host started did not reach the other side.

Host processes now get standard input, output and error only.

--- a/soak/host_process.cpp
+++ b/soak/host_process.cpp
@@ -94,6 +94,9 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, readable);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // With inherited sockets, connections that a stand-in resets would stay open, and it could not
+    // listen on its address again.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const auto failed = ::posix_spawn(&this->process, program_text.c_str(), &actions, nullptr,
                                       arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
