--- a/soak/promise_checks.cpp
+++ b/soak/promise_checks.cpp
@@ -10,6 +10,9 @@
 /// Two servers that both hold a key for longer than this break a promise, even without requests.
 constexpr milliseconds max_overlap{500};
 constexpr unsigned ok = 200;
+/// A request that crashed this many servers may arrive only so many times more.
+constexpr std::uint32_t tolerated_crashes = 3;
+constexpr std::uint32_t max_late_arrivals = 3;
 /// Statuses that guarantee that the request has not run and will not run.
 constexpr unsigned not_run_statuses[] = {408, 421, 429, 503};
 
@@ -38,6 +41,8 @@
         return "one_holder";
     case promise::newest_version:
         return "newest_version";
+    case promise::crashes_bounded:
+        return "crashes_bounded";
     case promise::recovered:
         return "recovered";
     case promise::stayed_up:
@@ -94,6 +99,36 @@
     }
 }
 
+crash_counts* promise_checks::counts_for(const std::string& id)
+{
+    const auto request = this->known.find(id);
+    const bool has_identity =
+        request != this->known.end() && !request->second.sent.identity.empty();
+    return has_identity ? &this->crashing[request->second.sent.identity] : nullptr;
+}
+
+void promise_checks::arrived(const std::string& id, bool in_touch, monotonic_time now)
+{
+    auto* own = this->counts_for(id);
+    if (own == nullptr || own->crashes < tolerated_crashes ||
+        now <= own->third_crash + stable_window) {
+        return;
+    }
+    ++own->late_arrivals;
+    if (in_touch && ++own->late_in_touch == max_late_arrivals + 1) {
+        this->record(promise::crashes_bounded,
+                     id + " arrived after " + std::to_string(own->crashes) + " crashes");
+    }
+}
+
+void promise_checks::crashed(const std::string& id, monotonic_time now)
+{
+    auto* own = this->counts_for(id);
+    if (own != nullptr && ++own->crashes == tolerated_crashes) {
+        own->third_crash = now;
+    }
+}
+
 void promise_checks::started_on_key(const key_holding& own, const std::vector<key_holding>& others,
                                     monotonic_time now)
 {
@@ -161,6 +196,11 @@
     return this->known.size();
 }
 
+const std::map<std::string, crash_counts>& promise_checks::crashing_requests() const
+{
+    return this->crashing;
+}
+
 const std::map<unsigned, std::uint64_t>& promise_checks::results_by_status() const
 {
     return this->counts;
--- a/soak/promise_checks.h
+++ b/soak/promise_checks.h
@@ -21,12 +21,16 @@
     one_owner,      ///< two backend servers held a key and both started requests on it
     one_holder,     ///< two backend servers held a key for longer than the allowed overlap
     newest_version, ///< a host reverted to an older configuration
-    recovered,      ///< no request was answered after all faults ended
-    stayed_up,      ///< an entry host exited unexpectedly
+    crashes_bounded, ///< a request that crashed three servers still arrived at servers
+    recovered,       ///< no request was answered after all faults ended
+    stayed_up,       ///< an entry host exited unexpectedly
 };
 
 [[nodiscard]] const char* name_of(promise which);
 
+/// Within this time after the third crash, hosts in touch know about it.
+inline constexpr milliseconds stable_window{3000};
+
 struct broken_promise {
     promise which = promise::ran_once;
     std::string detail;
@@ -37,6 +41,16 @@
     std::string id;
     bool idempotent = true;
     std::uint64_t body_bytes = 0;
+    /// Path, caller and body of a request that crashes servers; empty for the others.
+    std::string identity;
+};
+
+/// What requests with the same identity did to backend servers.
+struct crash_counts {
+    std::uint32_t crashes = 0;
+    monotonic_time third_crash{};
+    std::uint32_t late_arrivals = 0; ///< later than `stable_window` after the third crash
+    std::uint32_t late_in_touch = 0; ///< those of them that came from hosts in touch
 };
 
 /// Result of one request at its caller; status 0 if the connection closed without an answer.
@@ -60,6 +74,12 @@
     void sent(const sent_request& request);
     void executed(const std::string& id, std::uint64_t body_bytes);
     void finished(const request_result& result);
+    /// A backend server has read a request, which it may still refuse. `in_touch` tells whether
+    /// the sending host has been without a fault of its own, of the store and of the link to the
+    /// server for `stable_window`.
+    void arrived(const std::string& id, bool in_touch, monotonic_time now);
+    /// A backend server crashed while it ran the request.
+    void crashed(const std::string& id, monotonic_time now);
     /// The server of `own` starts a request on its key while `others` hold the key, too.
     void started_on_key(const key_holding& own, const std::vector<key_holding>& others,
                         monotonic_time now);
@@ -77,6 +97,8 @@
 
     [[nodiscard]] const std::vector<broken_promise>& broken() const;
     [[nodiscard]] std::uint64_t requests() const;
+    /// By identity.
+    [[nodiscard]] const std::map<std::string, crash_counts>& crashing_requests() const;
     /// Number of results by status; 0 stands for no answer.
     [[nodiscard]] const std::map<unsigned, std::uint64_t>& results_by_status() const;
 
@@ -88,9 +110,12 @@
     };
 
     void record(promise which, std::string detail);
+    /// Null for requests without an identity.
+    crash_counts* counts_for(const std::string& id);
 
     std::map<std::string, known_request> known;
     std::map<unsigned, std::uint64_t> counts;
+    std::map<std::string, crash_counts> crashing;
     /// Start of the last request by server and key.
     std::map<std::pair<std::string, std::uint32_t>, monotonic_time> last_started;
     /// Highest configuration version seen, by host and start number.
--- a/test/soak/promise_checks_test.cpp
+++ b/test/soak/promise_checks_test.cpp
@@ -25,6 +25,22 @@
     return {.server = server, .key = 7, .since = start + since};
 }
 
+void send_crashing(promise_checks& checks, const char* id, const char* identity)
+{
+    checks.sent({.id = id, .identity = identity});
+}
+
+/// The last of the crashes comes 300 ms after the start.
+void crash_servers(promise_checks& checks, int count)
+{
+    const char* ids[] = {"c1", "c2", "c3"};
+    for (int i = 0; i < count; ++i) {
+        send_crashing(checks, ids[i], "/crash/1 from a");
+        checks.arrived(ids[i], true, start + milliseconds{300 - 100 * (count - 1 - i)});
+        checks.crashed(ids[i], start + milliseconds{300 - 100 * (count - 1 - i)});
+    }
+}
+
 const check_row check_rows[] = {
     {"an order that ran once",
      [](promise_checks& checks) {
@@ -123,6 +139,75 @@
          checks.served_version("h", 2, 4, false);
      },
      {}},
+    {"a request that crashed three servers arrives three times more, and twice within the window",
+     [](promise_checks& checks) {
+         crash_servers(checks, 3);
+         for (const auto at : {500, 3300, 3301, 3302, 3303}) {
+             checks.arrived("c1", true, start + milliseconds{at});
+         }
+     },
+     {}},
+    {"a request that crashed three servers arrives four times more",
+     [](promise_checks& checks) {
+         crash_servers(checks, 3);
+         for (const auto at : {3301, 3302, 9000, 9001, 9002}) {
+             checks.arrived("c1", true, start + milliseconds{at});
+         }
+     },
+     {promise::crashes_bounded}},
+    {"the same request under several ids",
+     [](promise_checks& checks) {
+         crash_servers(checks, 3);
+         for (const auto* id : {"c4", "c5", "c6", "c7"}) {
+             send_crashing(checks, id, "/crash/1 from a");
+             checks.arrived(id, true, start + seconds{4});
+         }
+     },
+     {promise::crashes_bounded}},
+    {"a later crash does not extend the window",
+     [](promise_checks& checks) {
+         crash_servers(checks, 3);
+         checks.crashed("c1", start + milliseconds{3000});
+         for (int i = 0; i < 4; ++i) {
+             checks.arrived("c1", true, start + milliseconds{3400});
+         }
+     },
+     {promise::crashes_bounded}},
+    {"a request that crashed two servers",
+     [](promise_checks& checks) {
+         crash_servers(checks, 2);
+         for (int i = 0; i < 9; ++i) {
+             checks.arrived("c1", true, start + seconds{9});
+         }
+     },
+     {}},
+    {"another caller's request with the same path",
+     [](promise_checks& checks) {
+         crash_servers(checks, 3);
+         send_crashing(checks, "d1", "/crash/1 from b");
+         for (int i = 0; i < 9; ++i) {
+             checks.arrived("d1", true, start + seconds{9});
+         }
+     },
+     {}},
+    {"arrivals from hosts that are not in touch",
+     [](promise_checks& checks) {
+         crash_servers(checks, 3);
+         for (int i = 0; i < 9; ++i) {
+             checks.arrived("c1", i < 3, start + seconds{9});
+         }
+     },
+     {}},
+    {"requests without an identity",
+     [](promise_checks& checks) {
+         checks.sent({.id = "a"});
+         for (int i = 0; i < 9; ++i) {
+             checks.crashed("a", start);
+             checks.arrived("a", true, start + seconds{9});
+             checks.arrived("unknown", true, start + seconds{9});
+         }
+     },
+     {}},
     {"nobody is served after the faults",
      [](promise_checks& checks) { checks.answers_after_faults(0); },
      {promise::recovered}},
