--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -12,9 +12,10 @@
 constexpr std::uint64_t same_target_percent = 30;
 constexpr std::uint64_t same_kind_percent = 15;
 constexpr std::uint64_t max_targets = 64;
-/// All kinds but store_restored, which add_restores adds.
-constexpr auto drawn_kinds = static_cast<std::uint64_t>(fault_kind::kinds) - 1;
+/// All kinds but store_restored and crashing_request, which are added on their own.
+constexpr auto drawn_kinds = static_cast<std::uint64_t>(fault_kind::kinds) - 2;
 constexpr std::uint64_t restore_seed_offset = 1U << 20U;
+constexpr std::uint64_t crash_seed_offset = 1U << 21U;
 
 fault_kind drawn_kind(std::uint64_t number)
 {
@@ -38,8 +39,23 @@
                                     draw(settings.max_duration - settings.min_duration)});
         at += draw(2 * settings.mean_restore_interval);
     }
-    std::stable_sort(plan.begin(), plan.end(),
-                     [](const auto& left, const auto& right) { return left.at < right.at; });
+}
+
+/// Drawn on their own, as restores are.
+void add_crashing_requests(std::vector<planned_fault>& plan, const plan_settings& settings)
+{
+    std::uint64_t state = settings.seed + crash_seed_offset;
+    const auto draw = [&state](std::uint64_t below) { return next_random(state) % below; };
+    const auto count = settings.crashing_requests.value_or(static_cast<std::uint32_t>(draw(2)));
+    const auto first = static_cast<std::uint32_t>(draw(2));
+    const auto spread = std::max(settings.latest_start - settings.earliest_start, milliseconds{1});
+    for (std::uint32_t i = 0; i < count; ++i) {
+        plan.push_back({.at = settings.earliest_start +
+                              milliseconds{draw(static_cast<std::uint64_t>(spread.count()))},
+                        .kind = fault_kind::crashing_request,
+                        .target = first + i,
+                        .duration = settings.min_duration});
+    }
 }
 
 } // namespace
@@ -95,6 +111,8 @@
         return "link_silent";
     case fault_kind::configuration_changed:
         return "configuration_changed";
+    case fault_kind::crashing_request:
+        return "crashing_request";
     case fault_kind::kinds:
         break;
     }
@@ -124,6 +142,9 @@
         at += milliseconds{draw(2 * static_cast<std::uint64_t>(settings.mean_interval.count()))};
     }
     add_restores(out, settings);
+    add_crashing_requests(out, settings);
+    std::stable_sort(out.begin(), out.end(),
+                     [](const auto& left, const auto& right) { return left.at < right.at; });
     return out;
 }
 
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "figreach/time.h"
@@ -32,6 +33,7 @@
     link_cut_from,         ///< traffic from one server is held back for `duration`
     link_silent,           ///< traffic in both directions is held back for `duration`
     configuration_changed, ///< a route is added
+    crashing_request,      ///< crashes servers that run it, and is repeated until the run ends
     kinds,                 ///< number of enumerators above
 };
 
@@ -52,6 +54,8 @@
     milliseconds mean_interval{350}; ///< between the starts of two faults, which may overlap
     milliseconds min_duration{300};  ///< of faults that have a duration
     milliseconds max_duration{4000};
+    /// Number of crashing requests; one in about half of the seeds if not given.
+    std::optional<std::uint32_t> crashing_requests;
 };
 
 /// Generates faults ordered by start time, deterministically from the settings. Faults are
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -50,6 +50,8 @@
         "number of concurrent callers");
     add("fault-seconds", options::value<std::int64_t>()->default_value(12),
         "period in which faults start");
+    add("crashing-requests", options::value<std::uint32_t>(),
+        "number of requests that crash servers; one in about half of the seeds if not given");
     add("ignore-fences", options::bool_switch(&out.servers_ignore_fences),
         "backend servers keep released keys, so that the checks must fail");
     add("expect-broken", options::bool_switch(&line.expect_broken),
@@ -70,6 +72,12 @@
                     static_cast<unsigned long long>(count));
     }
     std::printf("; %zu broken\n", checks.broken().size());
+    for (const auto& [identity, counts] : checks.crashing_requests()) {
+        std::printf("  %s: %u servers crashed; %u arrivals later than %lld ms after the third, %u "
+                    "of them from hosts in touch\n",
+                    identity.c_str(), counts.crashes, counts.late_arrivals,
+                    static_cast<long long>(stable_window.count()), counts.late_in_touch);
+    }
     std::size_t shown = 0;
     for (const auto& one : checks.broken()) {
         if (shown++ < max_shown) {
@@ -118,6 +126,9 @@
             return line.help ? exit_ok : exit_usage;
         }
         line.settings.fault_time = seconds{given["fault-seconds"].as<std::int64_t>()};
+        if (given.contains("crashing-requests")) {
+            line.settings.crashing_requests = given["crashing-requests"].as<std::uint32_t>();
+        }
         return run_all(line);
     });
 }
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -49,6 +49,14 @@
 constexpr std::uint64_t hot_key_count = 24; ///< keys that get half of the requests
 constexpr std::uint64_t max_request_body = 60'000;
 constexpr milliseconds stop_timeout{7000}; ///< between SIGTERM and SIGKILL
+constexpr auto crash_prefix = "/crash/";
+constexpr auto crashing_read_path = "/crash/read/1";
+constexpr auto crashing_upload_path = "/crash/upload/1";
+constexpr std::size_t crashing_body_bytes = 300;
+constexpr milliseconds min_repeat_pause{200}; ///< between two sends of a crashing request
+constexpr std::uint64_t repeat_pause_spread_ms = 400;
+/// Crashing requests come from one loopback address each, other requests from 127.0.0.1.
+constexpr asio::ip::address_v4::uint_type first_crashing_caller = 0x7f000101;
 /// Clock rate of every second backend server, relative to real time.
 constexpr double slow_clock_rate = 0.98;
 
@@ -72,10 +80,13 @@
         standin::backend_settings own{.service = keyed ? keyed_service : unkeyed_service,
                                       .failure_domain = "hill",
                                       .divided_by_key = keyed,
-                                      .clock_rate = i % 2 == 0 ? 1.0 : slow_clock_rate};
+                                      .clock_rate = i % 2 == 0 ? 1.0 : slow_clock_rate,
+                                      .crash_prefix = crash_prefix};
         auto server = std::make_unique<standin::backend_server>(
             this->io, this->model, this->store, std::move(own), next_random(this->random_state),
             [this](const auto& one, const auto& what) { this->request_started(one, what); });
+        server->set_crash_listener(
+            [this](const auto& one, const auto& what) { this->crash_step_taken(one, what); });
         auto link = std::make_unique<fault_proxy>(this->io, server->address());
         server->set_public_address(link->address());
         server->faults.ignores_fences = this->settings.servers_ignore_fences;
@@ -125,6 +136,8 @@
     add_route("read", "safe", keyed_service);
     add_route("order", "unsafe", keyed_service);
     add_route("upload", "upload", unkeyed_service);
+    add_route("crash/read", "safe", keyed_service);
+    add_route("crash/upload", "upload", unkeyed_service);
     for (std::uint64_t i = 1; i <= this->version; ++i) {
         add_route("v" + std::to_string(i), "safe", unkeyed_service);
     }
@@ -182,6 +195,66 @@
         others, now);
 }
 
+void soak_run::crash_step_taken(const standin::backend_server& server,
+                                const standin::crash_event& what)
+{
+    const auto now = monotonic_time::clock::now();
+    if (what.step == standin::crash_step::crashed) {
+        this->checks.crashed(what.request_id, now);
+        return;
+    }
+    const auto host = this->crashing_request_hosts.find(what.request_id);
+    this->checks.arrived(what.request_id,
+                         host != this->crashing_request_hosts.end() &&
+                             this->in_touch(this->hosts[host->second], server, now),
+                         now);
+}
+
+bool soak_run::in_touch(const host_entry& host, const standin::backend_server& server,
+                        monotonic_time now) const
+{
+    const auto place = std::find_if(this->servers.begin(), this->servers.end(),
+                                    [&](const auto& one) { return one.server.get() == &server; });
+    const auto last_fault =
+        std::max({host.faulty_until, place->link_faulty_until, this->store_faulty_until});
+    return now > last_fault + stable_window;
+}
+
+void soak_run::record_fault_end(const planned_fault& fault)
+{
+    // A host that received SIGTERM keeps running for a while.
+    const auto stopping = fault.kind == fault_kind::host_stopped ? stop_timeout : milliseconds{0};
+    const auto end = monotonic_time::clock::now() + fault.duration + stopping;
+    const auto extend = [end](monotonic_time& until) { until = std::max(until, end); };
+    if (fault.kind == fault_kind::all_hosts_killed) {
+        for (auto& host : this->hosts) {
+            extend(host.faulty_until);
+        }
+    }
+    else if (fault.kind <= fault_kind::host_cut_from_store) {
+        extend(this->hosts[fault.target % this->hosts.size()].faulty_until);
+    }
+    else if (fault.kind <= fault_kind::store_restored) {
+        extend(this->store_faulty_until);
+    }
+    else if (fault.kind >= fault_kind::link_delayed && fault.kind <= fault_kind::link_silent) {
+        extend(this->servers[fault.target % this->servers.size()].link_faulty_until);
+    }
+}
+
+/// A host is not in touch while it is down and just after its start.
+void soak_run::record_host_starts()
+{
+    const auto now = monotonic_time::clock::now();
+    for (auto& host : this->hosts) {
+        const auto start_number = host.process->start_number();
+        if (!host.process->is_running() || host.last_start != start_number) {
+            host.faulty_until = std::max(host.faulty_until, now);
+        }
+        host.last_start = start_number;
+    }
+}
+
 void soak_run::check_holders()
 {
     const auto now = monotonic_time::clock::now();
@@ -221,8 +294,9 @@
         asio::co_spawn(this->io, this->run_caller(), asio::detached);
     }
     const auto begun = monotonic_time::clock::now();
-    const auto plan =
-        make_plan({.seed = this->settings.seed, .latest_start = this->settings.fault_time});
+    const auto plan = make_plan({.seed = this->settings.seed,
+                                 .latest_start = this->settings.fault_time,
+                                 .crashing_requests = this->settings.crashing_requests});
     auto end = begun;
     auto next = plan.begin();
     while (next != plan.end() || monotonic_time::clock::now() < end) {
@@ -234,6 +308,7 @@
             ++next;
         }
         this->check_holders();
+        this->record_host_starts();
         this->model.take_copy(now);
         co_await direct::sleep_for(this->io, check_interval);
     }
@@ -244,6 +319,7 @@
     while (monotonic_time::clock::now() < last) {
         this->end_all_faults();
         this->check_holders();
+        this->record_host_starts();
         this->faults_over = monotonic_time::clock::now() >= calm_from;
         co_await direct::sleep_for(this->io, check_interval);
     }
@@ -271,7 +347,9 @@
     for (auto& place : this->servers) {
         place.link->faults = {};
         place.server->faults = {.ignores_fences = this->settings.servers_ignore_fences};
-        place.server->start();
+        if (!place.server->is_restarting()) {
+            place.server->start();
+        }
     }
     for (auto& host : this->hosts) {
         host.store_link->faults = {};
@@ -282,6 +360,7 @@
 
 asio::awaitable<void> soak_run::inject(planned_fault fault)
 {
+    this->record_fault_end(fault);
     if (fault.kind <= fault_kind::host_cut_from_store) {
         co_await this->inject_host_fault(fault);
     }
@@ -294,6 +373,9 @@
     else if (fault.kind <= fault_kind::link_silent) {
         co_await this->inject_link_fault(fault);
     }
+    else if (fault.kind == fault_kind::crashing_request) {
+        co_await this->repeat_crashing_request(fault.target);
+    }
     else {
         ++this->version;
         this->write_configuration();
@@ -477,6 +559,48 @@
     co_return result.status;
 }
 
+/// Sends the same request again and again, each time to a random host: same path, caller and body.
+asio::awaitable<void> soak_run::repeat_crashing_request(std::uint32_t number)
+{
+    const bool keyed = number % 2 == 0;
+    const asio::ip::tcp::endpoint caller{asio::ip::address_v4{first_crashing_caller + number}, 0};
+    const std::string path = keyed ? crashing_read_path : crashing_upload_path;
+    const std::string body(keyed ? 0 : crashing_body_bytes, 'x');
+    std::uint64_t random = this->settings.seed + number;
+    while (this->callers_active) {
+        const auto chosen = next_random(random) % this->hosts.size();
+        const auto& host = *this->hosts[chosen].process;
+        prepared_request request;
+        request.sent = {.id = "crash-" + std::to_string(this->next_request++),
+                        .idempotent = keyed,
+                        .body_bytes = body.size(),
+                        .identity = path + " from " + caller.address().to_string()};
+        request.message =
+            direct::make_request(keyed ? http::verb::get : http::verb::post, path, body);
+        request.message.set(http::field::host, caller_host);
+        request.message.set(name::request_id, request.sent.id);
+        request.message.set(name::time_limit, std::to_string(request_timeout.count()));
+        if (keyed) {
+            request.message.set(name::key, std::to_string(number));
+        }
+        request.message.keep_alive(false);
+        request.message.prepare_payload();
+        this->crashing_request_hosts[request.sent.id] = chosen;
+        boost::beast::tcp_stream connection{this->io};
+        connection.socket().open(caller.protocol());
+        connection.socket().bind(caller);
+        connection.expires_after(connect_timeout);
+        const auto [failed] =
+            co_await connection.async_connect(to_endpoint(host.addresses().caller), no_throw);
+        if (!failed) {
+            co_await this->exchange(connection, request, host);
+        }
+        co_await direct::sleep_for(this->io,
+                                   min_repeat_pause +
+                                       milliseconds{next_random(random) % repeat_pause_spread_ms});
+    }
+}
+
 /// Runs one caller: reuses its connection until it closes, then connects to a random host.
 asio::awaitable<void> soak_run::run_caller()
 {
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -4,6 +4,7 @@
 #include <filesystem>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,8 +27,9 @@
     std::uint32_t keyed_servers = 6;
     std::uint32_t unkeyed_servers = 2; ///< of a service that is not divided by key
     std::uint32_t callers = 16;
-    milliseconds fault_time{12000};     ///< period in which faults start
-    milliseconds recovery_time{6000};   ///< after faults ended and hosts had time to restart
+    milliseconds fault_time{12000};   ///< period in which faults start
+    milliseconds recovery_time{6000}; ///< after faults ended and hosts had time to restart
+    std::optional<std::uint32_t> crashing_requests; ///< see plan_settings
     bool servers_ignore_fences = false; ///< violates the fencing contract, so that checks must fail
     std::filesystem::path program;
     std::filesystem::path folder; ///< for settings and logs
@@ -47,10 +49,13 @@
     struct server_entry {
         std::unique_ptr<standin::backend_server> server;
         std::unique_ptr<fault_proxy> link;
+        monotonic_time link_faulty_until{};
     };
     struct host_entry {
         std::unique_ptr<fault_proxy> store_link;
         std::unique_ptr<host_process> process;
+        std::uint64_t last_start = 0; ///< start number of the process when last checked
+        monotonic_time faulty_until{};
     };
     struct prepared_request {
         direct::http_request message;
@@ -63,6 +68,12 @@
     void add_hosts();
     void write_configuration();
     void request_started(const standin::backend_server& server, const standin::backend_run& what);
+    void crash_step_taken(const standin::backend_server& server, const standin::crash_event& what);
+    /// Whether a request from the host reaches the server without a fault in `stable_window`.
+    [[nodiscard]] bool in_touch(const host_entry& host, const standin::backend_server& server,
+                                monotonic_time now) const;
+    void record_fault_end(const planned_fault& fault);
+    void record_host_starts();
     void check_holders();
     /// Appends promises broken since the last call to broken.log, with wall-clock timestamps in the
     /// format of the hosts' logs.
@@ -75,6 +86,7 @@
     boost::asio::awaitable<void> inject_server_fault(planned_fault fault);
     boost::asio::awaitable<void> inject_link_fault(planned_fault fault);
     boost::asio::awaitable<void> run_caller();
+    boost::asio::awaitable<void> repeat_crashing_request(std::uint32_t number);
     boost::asio::awaitable<unsigned> exchange(boost::beast::tcp_stream& connection,
                                               const prepared_request& request,
                                               const host_process& host);
@@ -90,6 +102,9 @@
     promise_checks checks;
     std::uint64_t version = 1; ///< of the configuration
     std::uint64_t next_request = 1;
+    monotonic_time store_faulty_until{};
+    /// Index of the host that a crashing request was sent to, by request id.
+    std::map<std::string, std::size_t> crashing_request_hosts;
     bool callers_active = true;
     bool faults_over = false; ///< all faults ended and hosts had time to restart
     std::uint64_t answers_after_faults = 0;
--- a/test/soak/fault_plan_test.cpp
+++ b/test/soak/fault_plan_test.cpp
@@ -31,6 +31,29 @@
     CHECK_EQUAL(static_cast<std::size_t>(fault_kind::kinds), seen.size());
 }
 
+TEST(fault_plan_test, crashing_requests_leave_the_other_faults_of_a_seed_as_they_are)
+{
+    constexpr std::uint64_t seeds = 50;
+    std::size_t with_a_crash = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const auto without = make_plan({.seed = seed, .crashing_requests = 0});
+        auto with = make_plan({.seed = seed, .crashing_requests = 3});
+        const auto crashes = [](const planned_fault& one) {
+            return one.kind == fault_kind::crashing_request;
+        };
+        CHECK_EQUAL(3, std::erase_if(with, crashes));
+        CHECK_TRUE(std::equal(with.begin(), with.end(), without.begin(), without.end(),
+                              [](const auto& left, const auto& right) {
+                                  return left.at == right.at && left.kind == right.kind &&
+                                         left.target == right.target &&
+                                         left.duration == right.duration;
+                              }));
+        const auto drawn = make_plan({.seed = seed});
+        with_a_crash += std::any_of(drawn.begin(), drawn.end(), crashes) ? 1U : 0U;
+    }
+    CHECK_TRUE(with_a_crash > seeds / 3 && with_a_crash < 2 * seeds / 3);
+}
+
 TEST(fault_plan_test, names_each_kind)
 {
     std::set<std::string> names;
