Carry reports of crashing requests in follow calls

Hosts learn the leader's state with calls that are made anyway, so evidence needs no messages of its own.

--- a/include/figreach/direct/follow.h
+++ b/include/figreach/direct/follow.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "figreach/direct/cluster_state.h"
+#include "figreach/direct/crash_report.h"
 #include "figreach/direct/service_time_sample.h"
 #include "figreach/direct/store.h"
 #include "figreach/time.h"
@@ -35,6 +36,7 @@
     std::vector<service_time_sample> service_times;
     std::vector<server_load> server_loads;
     std::vector<rate_limit_report> rate_limits;
+    std::vector<crash_report> crashes; ///< seen by this host and not told yet
 };
 
 struct part_changes {
@@ -46,6 +48,7 @@
     std::vector<part_changes> parts;
     std::vector<server_load> server_loads;      ///< the latest reports from all hosts
     std::vector<rate_limit_report> rate_limits; ///< the latest known to any host
+    std::vector<crash_report> crashes;          ///< known to any host
 };
 
 /// The leader as known to a host that is not the leader itself.
--- a/src/direct/follow.cpp
+++ b/src/direct/follow.cpp
@@ -82,6 +82,55 @@
     return out;
 }
 
+void fill(wire::CrashReport& out, const crash_report& report)
+{
+    out.set_digest_high(report.digest.high);
+    out.set_digest_low(report.digest.low);
+    for (const auto& one : report.losses) {
+        auto* item = out.add_losses();
+        item->set_server(one.server.server.value);
+        item->set_lifetime(one.server.lifetime);
+        item->set_failure_domain(one.failure_domain.value);
+        item->set_sender(one.sender.value);
+        item->set_ran_ms(static_cast<std::uint32_t>(one.ran.count()));
+        item->set_age_ms(static_cast<std::uint32_t>(one.age.count()));
+        if (one.alive_age) {
+            item->set_alive_age_ms(static_cast<std::uint32_t>(one.alive_age->count()));
+        }
+    }
+    if (report.cleared_age) {
+        out.set_cleared_age_ms(static_cast<std::uint32_t>(report.cleared_age->count()));
+    }
+}
+
+std::vector<crash_report>
+to_crashes(const google::protobuf::RepeatedPtrField<wire::CrashReport>& in)
+{
+    std::vector<crash_report> out;
+    out.reserve(static_cast<std::size_t>(in.size()));
+    for (const auto& one : in) {
+        crash_report report{.digest = {.high = one.digest_high(), .low = one.digest_low()},
+                            .losses = {},
+                            .cleared_age = std::nullopt};
+        for (const auto& loss : one.losses()) {
+            report.losses.push_back(
+                {.server = {.server = {loss.server()}, .lifetime = loss.lifetime()},
+                 .failure_domain = {loss.failure_domain()},
+                 .sender = {loss.sender()},
+                 .ran = milliseconds{loss.ran_ms()},
+                 .age = milliseconds{loss.age_ms()},
+                 .alive_age = loss.has_alive_age_ms()
+                                  ? std::optional{milliseconds{loss.alive_age_ms()}}
+                                  : std::nullopt});
+        }
+        if (one.has_cleared_age_ms()) {
+            report.cleared_age = milliseconds{one.cleared_age_ms()};
+        }
+        out.push_back(std::move(report));
+    }
+    return out;
+}
+
 store_change to_change(const wire::ItemChange& in)
 {
     return {.item = {.key = in.key(), .value = in.value(), .revision = in.revision()},
@@ -118,6 +167,9 @@
     for (const auto& one : request.rate_limits) {
         fill(*out.add_rate_limits(), one);
     }
+    for (const auto& one : request.crashes) {
+        fill(*out.add_crashes(), one);
+    }
     return out.SerializeAsString();
 }
 
@@ -143,6 +195,9 @@
     for (const auto& one : answer.rate_limits) {
         fill(*out.add_rate_limits(), one);
     }
+    for (const auto& one : answer.crashes) {
+        fill(*out.add_crashes(), one);
+    }
     return out.SerializeAsString();
 }
 
@@ -215,7 +270,8 @@
                        .loads = {},
                        .service_times = {},
                        .server_loads = to_loads(in->server_loads()),
-                       .rate_limits = to_rate_limits(in->rate_limits())};
+                       .rate_limits = to_rate_limits(in->rate_limits()),
+                       .crashes = to_crashes(in->crashes())};
     for (const auto& one : in->positions()) {
         const auto part = part_of(one.part());
         if (!part) {
@@ -246,7 +302,8 @@
     }
     follow_answer out{.parts = {},
                       .server_loads = to_loads(in->server_loads()),
-                      .rate_limits = to_rate_limits(in->rate_limits())};
+                      .rate_limits = to_rate_limits(in->rate_limits()),
+                      .crashes = to_crashes(in->crashes())};
     for (const auto& one : in->parts()) {
         const auto part = part_of(one.part());
         if (!part) {
--- a/test/direct/follow_test.cpp
+++ b/test/direct/follow_test.cpp
@@ -115,6 +115,32 @@
     CHECK_EQUAL(7, decoded->parts[0].changes.revision);
 }
 
+TEST(follow_test, reads_reports_of_crashing_requests_that_it_wrote)
+{
+    const reported_loss lost{.server = {.server = {"s"}, .lifetime = 1'700'000'000'000},
+                             .failure_domain = {"d"},
+                             .sender = {"h"},
+                             .ran = milliseconds{20},
+                             .age = milliseconds{600'000},
+                             .alive_age = std::nullopt};
+    auto refuted = lost;
+    refuted.alive_age = milliseconds{0};
+    const std::vector<crash_report> rows[] = {
+        {},
+        {{.digest = {.high = 1, .low = 2}, .losses = {lost}, .cleared_age = std::nullopt}},
+        {{.digest = {.high = ~std::uint64_t{0}, .low = 0},
+          .losses = {lost, refuted},
+          .cleared_age = milliseconds{0}},
+         {.digest = {.high = 0, .low = 3}, .losses = {}, .cleared_age = milliseconds{30'000}}},
+    };
+    for (const auto& row : rows) {
+        const follow_request request{.host = {"h"}, .crashes = row};
+        CHECK_TRUE(decode_follow_request(encode(request))->crashes == row);
+        const follow_answer answer{.crashes = row};
+        CHECK_TRUE(decode_follow_answer(encode(answer))->crashes == row);
+    }
+}
+
 TEST(follow_test, reads_rate_limits_that_it_wrote_and_ignores_invalid_ones)
 {
     const std::vector<rate_limit_report> valid{
