Hold back requests that crash backend servers

A request that ended each server that ran it was sent again by every host at which it came back, and once more by itself if it may be repeated. Hosts now name requests by a digest, record sends that ended with the server, share that with follow calls, send what is suspected through one host, alone and once, and refuse what is held with request_held, 503 without Retry-After.

--- a/include/figreach/direct/forwarding_head.h
+++ b/include/figreach/direct/forwarding_head.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
+#include "figreach/direct/request_digest.h"
 #include "figreach/ids.h"
 
 namespace figreach::direct {
@@ -11,6 +13,7 @@
     host_id from;
     std::uint32_t hops_left = 0; ///< how often the receiver may pass the request on
     backend_server_id server;    ///< the only server to send to; empty if the receiver chooses
+    std::optional<request_digest> digest = std::nullopt; ///< unknown from older hosts
 };
 
 } // namespace figreach::direct
--- a/include/figreach/direct/runtime/exchange.h
+++ b/include/figreach/direct/runtime/exchange.h
@@ -25,9 +25,10 @@
 
 struct exchange_result {
     exchange_outcome outcome = exchange_outcome::lost;
-    http_response answer;       ///< set when answered or not_run
-    platform::answer_head head; ///< parsed from `answer`
-    std::string detail;         ///< reason when lost; otherwise empty
+    http_response answer;          ///< set when answered or not_run
+    platform::answer_head head;    ///< parsed from `answer`
+    std::string detail;            ///< reason when lost; otherwise empty
+    bool closed_by_server = false; ///< lost because the server's side ended the connection
 };
 
 using shared_connection = std::shared_ptr<upstream_connection>;
--- a/include/figreach/direct/runtime/host_context.h
+++ b/include/figreach/direct/runtime/host_context.h
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "figreach/direct/cluster_state.h"
+#include "figreach/direct/crash_suspects.h"
 #include "figreach/direct/direct_settings.h"
 #include "figreach/direct/peer_health.h"
 #include "figreach/direct/runtime/change_signal.h"
@@ -50,6 +51,13 @@
                            monotonic_time now);
     /// Merges what another host reports about the rates that backend servers accept.
     void merge_rate_limits(const std::vector<rate_limit_report>& reports, const host_id& from);
+    /// Merges what another host reports about requests that crash backend servers.
+    void merge_crash_reports(const std::vector<crash_report>& reports);
+    /// Looks for signs of life of the servers that ended sends, and logs changes.
+    void refresh_crash_suspects(monotonic_time now);
+    void log_crash_changes();
+    /// Clears the requests that the settings name.
+    void release_requests();
     /// Drops what is known about backend servers that no longer exist.
     void forget_removed_servers(monotonic_time now);
     /// This host's retry budget for requests to `service`.
@@ -69,6 +77,7 @@
     server_load_tracker load_tracker;
     server_path path;
     server_rate_limits rate_limits;
+    crash_suspects suspects;
     std::set<backend_server_id> invalid_rate_limits; ///< servers whose last field was invalid
     connection_pool server_connections;              ///< connections for caller requests
     /// Connections on which requests that may be repeated wait for their answers.
--- a/include/figreach/direct/runtime/request_runner.h
+++ b/include/figreach/direct/runtime/request_runner.h
@@ -10,7 +10,9 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "figreach/direct/crash_suspects.h"
 #include "figreach/direct/forwarding_head.h"
+#include "figreach/direct/request_digest.h"
 #include "figreach/direct/runtime/exchange.h"
 #include "figreach/direct/runtime/host_context.h"
 #include "figreach/direct/runtime/store_feed.h"
@@ -28,6 +30,7 @@
     platform::caller_head head;
     monotonic_time arrival{};
     std::optional<forwarding_head> forwarded = std::nullopt; ///< set if an entry host passed it on
+    std::optional<request_digest> digest = std::nullopt;     ///< unknown if an older host did
 };
 
 /// A refusal issued by this host.
@@ -58,6 +61,7 @@
     struct target {
         backend_server_id id;
         std::string address;
+        std::uint64_t lifetime = 0;
         failure_domain_id failure_domain;
         std::uint32_t slots = 0;
         bool cold = false;
@@ -72,6 +76,8 @@
 
     boost::asio::awaitable<request_outcome> serve(const caller_request& request);
     boost::asio::awaitable<attempt_event> attempt(const caller_request& request);
+    boost::asio::awaitable<attempt_event> attempt_alone(const caller_request& request);
+    boost::asio::awaitable<attempt_event> send_or_forward(const caller_request& request, target to);
     boost::asio::awaitable<attempt_event> send(const caller_request& request, target to);
     boost::asio::awaitable<attempt_event> forward(const caller_request& request, target to);
     [[nodiscard]] attempt_event handle_forwarded_answer(exchange_result result,
@@ -97,6 +103,10 @@
     [[nodiscard]] std::vector<host_id> preferred_senders(const caller_request& request,
                                                          const target& to, bool reachable) const;
     [[nodiscard]] std::vector<host_id> helpers(const caller_request& request) const;
+    [[nodiscard]] std::vector<host_id> suspect_senders(const caller_request& request) const;
+    [[nodiscard]] bool is_suspected(const caller_request& request) const;
+    void record_evidence(const caller_request& request, const exchange_result& result,
+                         const target& to, monotonic_time sent_at);
     [[nodiscard]] bool can_reach(const target& to) const;
     [[nodiscard]] bool is_reached_by_others(const backend_server_id& id) const;
     [[nodiscard]] host_refusal refuse_without_path() const;
@@ -122,6 +132,7 @@
     std::optional<http_response> server_error; ///< latest 5xx response, in case a retry fails
     shared_connection upstream;
     target last_target;
+    crash_level highest_level = crash_level::none; ///< at any attempt
     bool cancelled = false;
 };
 
--- a/include/figreach/direct/runtime/store_feed.h
+++ b/include/figreach/direct/runtime/store_feed.h
@@ -69,6 +69,7 @@
     std::map<store_part, part_state> parts;
     std::optional<leader_hint> hint; ///< leader reported by another host
     std::optional<leader_hint> followed;
+    std::optional<leader_hint> told; ///< leader that has all evidence of this host
     monotonic_time followed_until{}; ///< the leader's answers are relied on until then
     monotonic_time next_probe{};     ///< earliest time to probe the store when no leader answers
     std::map<std::pair<service_id, std::uint32_t>, std::uint32_t> loads;
--- a/include/figreach/error_kind.h
+++ b/include/figreach/error_kind.h
@@ -39,6 +39,8 @@
     server_refused,
     server_unreachable,
     no_server_path,
+    request_suspected,
+    request_held,
     outcome_unknown,
     answer_incomplete,
     retry_budget_spent,
--- a/src/direct/direct_settings.cpp
+++ b/src/direct/direct_settings.cpp
@@ -42,6 +42,7 @@
         in.seconds_or("longest_hold_s", value.max_hold, milliseconds{500}, max_duration);
     value.report_interval =
         in.seconds_or("report_interval_s", value.report_interval, milliseconds{1}, max_duration);
+    value.released_requests = in.texts_or("released_requests", {});
     in.reject_unknown_keys();
     return out;
 }
--- a/src/direct/runtime/direct_host.cpp
+++ b/src/direct/runtime/direct_host.cpp
@@ -109,6 +109,7 @@
             this->leader.record_service_times(this->state.load_tracker.take_service_times());
         }
         this->state.forget_removed_servers(monotonic_time::clock::now());
+        this->state.refresh_crash_suspects(monotonic_time::clock::now());
         this->state.peers.on_tick(monotonic_time::clock::now());
         std::erase_if(this->connections, [](const auto& one) { return one.expired(); });
         if (!this->ready && this->state.cluster.is_complete()) {
@@ -172,6 +173,8 @@
     this->state.settings.stop_limit = parsed.value.stop_limit;
     this->state.settings.leaving_limit = parsed.value.leaving_limit;
     this->state.settings.log_level = parsed.value.log_level;
+    this->state.settings.released_requests = parsed.value.released_requests;
+    this->state.release_requests();
     set_log_level(parsed.value.log_level);
     log_event(log_level::info, "settings_reloaded", {{"log_level", parsed.value.log_level}});
 }
@@ -191,6 +194,12 @@
         [this] { return std::uint64_t{this->state.in_flight}; });
     add("servers_with_rate_limit", "Backend servers that name a limit of requests per second.",
         metric_type::gauge, [this] { return std::uint64_t{this->state.rate_limits.count()}; });
+    add("crash_suspects", "Requests that are sent alone since servers ended while running them.",
+        metric_type::gauge,
+        [this] { return std::uint64_t{this->state.suspects.count_at(crash_level::suspected)}; });
+    add("crash_held", "Requests that are refused since servers ended while running them.",
+        metric_type::gauge,
+        [this] { return std::uint64_t{this->state.suspects.count_at(crash_level::held)}; });
     add("server_path_lost", "Whether the host reaches no backend server.", metric_type::gauge,
         [this] { return std::uint64_t{this->state.path.is_lost() ? 1U : 0U}; });
     add("ready", "Whether the host takes new connections.", metric_type::gauge,
--- a/src/direct/runtime/exchange.cpp
+++ b/src/direct/runtime/exchange.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -50,6 +51,13 @@
         .outcome = exchange_outcome::lost, .answer = {}, .head = {}, .detail = std::move(detail)};
 }
 
+bool is_closed_by_peer(const beast::error_code& failed)
+{
+    return failed == http::error::end_of_stream || failed == http::error::partial_message ||
+           failed == asio::error::eof || failed == asio::error::connection_reset ||
+           failed == asio::error::broken_pipe;
+}
+
 exchange_result result_for_error(const upstream_connection& connection,
                                  const beast::error_code& failed, monotonic_time deadline)
 {
@@ -60,7 +68,9 @@
     if (monotonic_time::clock::now() >= deadline) {
         return {.outcome = exchange_outcome::late};
     }
-    return lost(failed.message());
+    auto out = lost(failed.message());
+    out.closed_by_server = is_closed_by_peer(failed);
+    return out;
 }
 
 /// Whether the final response is still to come.
--- a/src/direct/runtime/forwarding.cpp
+++ b/src/direct/runtime/forwarding.cpp
@@ -17,6 +17,7 @@
 
 constexpr auto from_field = "X-Figreach-Forwarded-By";
 constexpr auto hops_field = "X-Figreach-Hops-Left";
+constexpr auto digest_field = "X-Figreach-Digest";
 constexpr auto server_field = "X-Figreach-Server";
 constexpr auto refusal_field = "X-Figreach-Refusal";
 constexpr auto retry_after_field = "X-Figreach-Retry-After-Ms";
@@ -51,6 +52,10 @@
     if (!head.server.empty()) {
         out.set(server_field, head.server.value);
     }
+    out.erase(digest_field);
+    if (head.digest) {
+        out.set(digest_field, to_text(*head.digest));
+    }
     platform::encode_time_left(out, time_left);
     return out;
 }
@@ -60,11 +65,14 @@
     auto from = take_field(message, from_field);
     const auto hops = bounded_number(take_field(message, hops_field), max_hops);
     auto server = take_field(message, server_field);
+    const auto digest = parse_request_digest(take_field(message, digest_field));
     if (from.empty()) {
         return std::nullopt;
     }
-    return forwarding_head{
-        .from = {std::move(from)}, .hops_left = hops, .server = {std::move(server)}};
+    return forwarding_head{.from = {std::move(from)},
+                           .hops_left = hops,
+                           .server = {std::move(server)},
+                           .digest = digest};
 }
 
 http_response encode_forwarded_answer(request_outcome outcome, const std::string& request_id,
--- a/src/direct/runtime/host_context.cpp
+++ b/src/direct/runtime/host_context.cpp
@@ -64,6 +64,7 @@
       load_tracker{load_tracker_settings{}},
       path{server_path_settings{}, monotonic_time::clock::now()},
       rate_limits{rate_limit_settings{}},
+      suspects{crash_suspects_settings{}},
       server_connections{io_, max_idle_per_server},
       peer_connections{io_, max_idle_per_peer},
       peers{peer_health_settings{}},
@@ -181,6 +182,65 @@
     }
 }
 
+void host_context::merge_crash_reports(const std::vector<crash_report>& reports)
+{
+    const auto now = monotonic_time::clock::now();
+    for (const auto& one : reports) {
+        this->suspects.merge(one, now);
+    }
+    this->log_crash_changes();
+}
+
+void host_context::refresh_crash_suspects(monotonic_time now)
+{
+    const auto find = [this](const backend_server_id& id) -> std::optional<discovered_server> {
+        const auto* record = this->cluster.servers().find(id);
+        if (record == nullptr) {
+            return std::nullopt;
+        }
+        const auto& view = this->load_tracker.view(id);
+        return discovered_server{.lifetime = record->entry.lifetime,
+                                 .report = record->entry.report,
+                                 .answered_at =
+                                     view.report ? std::optional{view.reported_at} : std::nullopt};
+    };
+    this->suspects.on_tick(find, now);
+    this->log_crash_changes();
+}
+
+void host_context::log_crash_changes()
+{
+    for (const auto& one : this->suspects.take_changes()) {
+        std::string servers;
+        std::string senders;
+        std::string ages;
+        for (const auto& loss : one.losses) {
+            const auto* separator = servers.empty() ? "" : " ";
+            servers += separator + loss.server.server.value;
+            senders += separator + loss.sender.value;
+            ages += separator + std::to_string(loss.age.count());
+        }
+        const auto change = one.to == crash_level::none ? "cleared" : name_of(one.to);
+        log_event(log_level::warn, "crash_suspect",
+                  {{"change", std::string{change}},
+                   {"former", std::string{name_of(one.from)}},
+                   {"digest", to_text(one.digest)},
+                   {"servers", servers},
+                   {"hosts", senders},
+                   {"ages_ms", ages}});
+    }
+}
+
+void host_context::release_requests()
+{
+    for (const auto& text : this->settings.released_requests) {
+        if (const auto digest = parse_request_digest(text)) {
+            this->suspects.on_answered(*digest, monotonic_time::clock::now());
+        }
+    }
+    this->log_crash_changes();
+}
+
 void host_context::forget_removed_servers(monotonic_time now)
 {
     const auto is_known = [this](const backend_server_id& id) {
--- a/src/direct/runtime/peer_server.cpp
+++ b/src/direct/runtime/peer_server.cpp
@@ -105,6 +105,7 @@
                              .arrival = arrival,
                              .forwarded = std::move(head)};
     forwarded.head = platform::decode_caller_head(forwarded.message);
+    forwarded.digest = forwarded.forwarded->digest;
     const auto id = forwarded.head.request_id;
     if (forwarded.head.malformed || id.empty()) {
         co_return encode_forwarded_answer(host_refusal{.kind = error_kind::malformed_request}, id,
@@ -161,12 +162,14 @@
         this->state.load_tracker.merge(load, monotonic_time::clock::now());
     }
     this->state.merge_rate_limits(follow->rate_limits, follow->host);
+    this->state.merge_crash_reports(follow->crashes);
     auto update = co_await this->feed.answer(*follow);
     out.result(update ? http::status::ok : http::status::service_unavailable);
     if (update) {
         const auto now = monotonic_time::clock::now();
         update->server_loads = this->state.load_tracker.reports(now);
         update->rate_limits = this->state.rate_limits.reports(now);
+        update->crashes = this->state.suspects.reports(now);
         out.body() = encode(*update);
     }
     co_return out;
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -26,6 +26,9 @@
 constexpr milliseconds peers_connect_timeout{250};
 /// Peers may be cut off from the servers as well, of which this host learns only by trying.
 constexpr std::size_t max_forward_tries = 4;
+/// A suspected request waits this long for those that are sent alone before it.
+constexpr milliseconds alone_wait_limit{1000};
+constexpr milliseconds alone_poll_interval{20};
 constexpr milliseconds min_time_left{5}; ///< a request with less time left is not sent
 /// A leaving owner still receives requests for its keys during this percentage of the leaving
 /// limit.
@@ -45,6 +48,25 @@
     return out;
 }
 
+/// Sends of suspected requests that this host makes one at a time.
+class sending_alone {
+public:
+    sending_alone(crash_suspects& suspects_, const request_digest& digest_,
+                  const request_attempts& attempts_)
+        : suspects{suspects_}, digest{digest_}, attempts{attempts_}, sends{attempts_.sends()}
+    {
+    }
+    ~sending_alone() { this->suspects.finish(this->digest, this->attempts.sends() > this->sends); }
+    sending_alone(const sending_alone&) = delete;
+    sending_alone& operator=(const sending_alone&) = delete;
+
+private:
+    crash_suspects& suspects;
+    request_digest digest;
+    const request_attempts& attempts;
+    std::uint32_t sends;
+};
+
 bool is_server_error(const http_response& answer)
 {
     return answer.result_int() >= first_server_error;
@@ -134,8 +156,11 @@
                                                           wait->delay);
             }
         }
-        const auto event =
+        auto event =
             this->cancelled ? attempt_event{caller_left{}} : co_await this->attempt(request);
+        if (auto* lost = std::get_if<lost_after_send>(&event)) {
+            lost->replayable = lost->replayable && !this->is_suspected(request);
+        }
         action = this->attempts->handle(event, monotonic_time::clock::now());
         if (std::holds_alternative<no_action>(action)) {
             // The deadline expired just before sending.
@@ -167,6 +192,15 @@
     if (now + min_time_left >= this->deadline) {
         co_return deadline_passed{};
     }
+    const auto level =
+        request.digest ? this->state.suspects.level(*request.digest, now) : crash_level::none;
+    this->highest_level = std::max(this->highest_level, level);
+    if (level == crash_level::held) {
+        co_return rejected_locally{.kind = error_kind::request_held, .retry_after = {}};
+    }
+    if (level != crash_level::none) {
+        co_return co_await this->attempt_alone(request);
+    }
     const auto chosen = this->select_target(request);
     if (std::holds_alternative<wait_for_change>(chosen)) {
         co_return route_resolved{route_location::none};
@@ -174,13 +208,121 @@
     if (const auto* refusal = std::get_if<host_refusal>(&chosen)) {
         co_return rejected_locally{.kind = refusal->kind, .retry_after = refusal->retry_after};
     }
-    auto to = std::get<target>(chosen);
+    co_return co_await this->send_or_forward(request, std::get<target>(chosen));
+}
+
+asio::awaitable<attempt_event> request_runner::send_or_forward(const caller_request& request,
+                                                               target to)
+{
     if (!to.peers.empty()) {
         co_return co_await this->forward(request, std::move(to));
     }
     co_return co_await this->send(request, std::move(to));
 }
 
+/// Lets one host of all send a suspected request, without another one at the same server.
+asio::awaitable<attempt_event> request_runner::attempt_alone(const caller_request& request)
+{
+    target elsewhere;
+    elsewhere.peers = this->suspect_senders(request);
+    if (!elsewhere.peers.empty()) {
+        elsewhere.hops_left = 1;
+        elsewhere.forwarded_for = "crash_suspect";
+        co_return co_await this->forward(request, std::move(elsewhere));
+    }
+    auto& suspects = this->state.suspects;
+    const auto until = std::min(this->deadline, monotonic_time::clock::now() + alone_wait_limit);
+    for (;;) {
+        const auto now = monotonic_time::clock::now();
+        if (suspects.level(*request.digest, now) == crash_level::held) {
+            this->highest_level = crash_level::held;
+            co_return rejected_locally{.kind = error_kind::request_held, .retry_after = {}};
+        }
+        const auto chosen = this->select_target(request);
+        if (std::holds_alternative<wait_for_change>(chosen)) {
+            co_return route_resolved{route_location::none};
+        }
+        if (const auto* refusal = std::get_if<host_refusal>(&chosen)) {
+            co_return rejected_locally{.kind = refusal->kind, .retry_after = refusal->retry_after};
+        }
+        const auto& to = std::get<target>(chosen);
+        if (suspects.try_start(*request.digest, to.id, now)) {
+            const sending_alone own{suspects, *request.digest, *this->attempts};
+            co_return co_await this->send_or_forward(request, to);
+        }
+        if (this->cancelled) {
+            co_return caller_left{};
+        }
+        if (now >= until) {
+            co_return rejected_locally{.kind = error_kind::request_suspected,
+                                       .retry_after = refused_retry_delay};
+        }
+        co_await this->state.cluster_changed.wait(now + alone_poll_interval);
+    }
+}
+
+/// The hosts that send suspected requests, up to this one; empty if this host sends. All of these
+/// requests go to one host, so that no two of them meet at a server.
+std::vector<host_id> request_runner::suspect_senders(const caller_request& request) const
+{
+    std::vector<host_id> out;
+    if (request.forwarded) {
+        return out;
+    }
+    const auto now = monotonic_time::clock::now();
+    for (auto& name : order_helpers("crash_suspects", this->state.cluster)) {
+        if (name == this->state.settings.name || out.size() == max_forward_tries) {
+            return out;
+        }
+        if (this->state.peers.is_usable(name, now)) {
+            out.push_back(std::move(name));
+        }
+    }
+    return out;
+}
+
+/// Whether the request was suspected at any attempt, or is now. Then it is not sent again.
+bool request_runner::is_suspected(const caller_request& request) const
+{
+    const auto now = monotonic_time::clock::now();
+    return this->highest_level != crash_level::none ||
+           (request.digest &&
+            this->state.suspects.level(*request.digest, now) != crash_level::none);
+}
+
+/// Records whether the server answered or ended during the send.
+void request_runner::record_evidence(const caller_request& request, const exchange_result& result,
+                                     const target& to, monotonic_time sent_at)
+{
+    const auto now = monotonic_time::clock::now();
+    const server_lifetime server{.server = to.id, .lifetime = to.lifetime};
+    auto& suspects = this->state.suspects;
+    const bool answered = result.outcome == exchange_outcome::answered;
+    if (answered || result.outcome == exchange_outcome::not_run) {
+        suspects.on_alive(server, now);
+    }
+    if (!request.digest) {
+        return;
+    }
+    if (answered && !is_server_error(result.answer)) {
+        suspects.on_answered(*request.digest, now);
+    }
+    else if (result.outcome == exchange_outcome::lost && result.closed_by_server) {
+        const auto* record = this->state.cluster.servers().find(to.id);
+        const bool planned =
+            record != nullptr && record->entry.lifetime == to.lifetime && record->entry.leaving;
+        if (!planned) {
+            suspects.on_lost({.digest = *request.digest,
+                              .server = server,
+                              .failure_domain = to.failure_domain,
+                              .sender = this->state.settings.name,
+                              .sent_at = sent_at},
+                             now);
+        }
+    }
+    this->state.log_crash_changes();
+}
+
 request_runner::choice request_runner::select_target(const caller_request& request)
 {
     return this->service->divided_by_key ? this->select_owner(request)
@@ -191,6 +333,7 @@
 {
     return {.id = record.entry.id,
             .address = record.entry.address,
+            .lifetime = record.entry.lifetime,
             .failure_domain = record.entry.failure_domain,
             .slots = record.entry.slots,
             .cold = monotonic_time::clock::now() < record.cold_until};
@@ -461,6 +604,7 @@
         this->log_send(request, to, name_of(result.outcome),
                        answered ? std::to_string(result.answer.result_int()) : result.detail);
     }
+    this->record_evidence(request, result, to, now);
     co_return this->handle_result(result, to, latency);
 }
 
@@ -522,7 +666,8 @@
         const bool chooses_server = this->service->divided_by_key || to.hops_left > 0;
         const forwarding_head head{.from = this->state.settings.name,
                                    .hops_left = to.hops_left,
-                                   .server = chooses_server ? backend_server_id{} : to.id};
+                                   .server = chooses_server ? backend_server_id{} : to.id,
+                                   .digest = request.digest};
         const auto message =
             std::make_shared<http_request>(encode_forwarded(request, head, time_left));
         this->state.peers.on_sent(name, now);
@@ -722,6 +867,8 @@
                {"server", this->last_target.id.value},
                {"fence", std::to_string(this->last_target.fence)},
                {"server_limit", limit ? std::to_string(*limit) : ""},
+               {"digest", this->highest_level != crash_level::none ? to_text(*request.digest) : ""},
+               {"crash_level", std::string{name_of(this->highest_level)}},
                {"sends", this->attempts ? std::to_string(this->attempts->sends()) : "0"},
                {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(duration).count())}});
 }
--- a/src/direct/runtime/store_feed.cpp
+++ b/src/direct/runtime/store_feed.cpp
@@ -351,13 +351,18 @@
         co_return false;
     }
     const auto now = monotonic_time::clock::now();
+    if (this->told != leader) {
+        this->state.suspects.tell_again();
+    }
+    this->told.reset();
     const follow_request poll_request{
         .host = this->state.settings.name,
         .positions = *known,
         .loads = this->take_loads(),
         .service_times = this->state.load_tracker.take_service_times(),
         .server_loads = this->state.load_tracker.take_own_reports(now),
-        .rate_limits = this->state.rate_limits.take_own_reports(now)};
+        .rate_limits = this->state.rate_limits.take_own_reports(now),
+        .crashes = this->state.suspects.take_own_reports(now)};
     auto request = make_request(http::verb::post, "/follow", encode(poll_request));
     const auto timeout = this->follower_wait() + follow_response_margin;
     const auto result = co_await this->peers.call(leader.peer_address, std::move(request),
@@ -385,6 +390,8 @@
         this->state.load_tracker.merge(load, monotonic_time::clock::now());
     }
     this->state.merge_rate_limits(decoded->rate_limits, leader.host);
+    this->state.merge_crash_reports(decoded->crashes);
+    this->told = leader;
     this->followed = std::move(leader);
     this->followed_until = monotonic_time::clock::now() + timeout + follow_overlap;
     co_return true;
--- a/test/direct/path_fixture.h
+++ b/test/direct/path_fixture.h
@@ -168,6 +168,35 @@
         done.get_future().wait();
     }
 
+    /// Makes the host find that servers, of which none is known here, ended while they ran a
+    /// request.
+    void lose_sends(const request_digest& digest, std::size_t servers)
+    {
+        std::promise<void> done;
+        asio::post(this->io, [&] {
+            const auto now = monotonic_time::clock::now();
+            for (std::size_t i = 0; i < servers; ++i) {
+                const server_lifetime ended{.server = {"ended" + std::to_string(i)}, .lifetime = 1};
+                this->state.suspects.on_lost({.digest = digest,
+                                              .server = ended,
+                                              .failure_domain = {"d"},
+                                              .sender = {"h1"},
+                                              .sent_at = now},
+                                             now);
+            }
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    /// Number of servers that ended while they ran a request, as the host knows.
+    std::size_t lost_sends(const request_digest& digest)
+    {
+        std::promise<std::size_t> count;
+        asio::post(this->io, [&] { count.set_value(this->state.suspects.count(digest)); });
+        return count.get_future().get();
+    }
+
     /// Connects as a caller and sends a request without reading the response.
     tcp::socket call(asio::io_context& own, const std::string& request)
     {
--- a/test/error_kind_test.cpp
+++ b/test/error_kind_test.cpp
@@ -45,6 +45,8 @@
     {server_refused, "server_refused", 503, not_run, true},
     {server_unreachable, "server_unreachable", 502, not_run, true},
     {no_server_path, "no_server_path", 503, not_run, true},
+    {request_suspected, "request_suspected", 503, not_run, true},
+    {request_held, "request_held", 503, not_run, false},
     {outcome_unknown, "outcome_unknown", 502, unknown, false},
     {answer_incomplete, "answer_incomplete", 0, unknown, false},
     {retry_budget_spent, "retry_budget_spent", 503, not_run, true},
--- a/test/platform/request_codec_test.cpp
+++ b/test/platform/request_codec_test.cpp
@@ -91,6 +91,8 @@
     {error_kind::server_refused, milliseconds{1250}, 503, "1.250"},
     {error_kind::server_unreachable, milliseconds{0}, 503, "0.100"},
     {error_kind::deadline_expired, milliseconds{0}, 503, "0.100"},
+    {error_kind::request_suspected, milliseconds{250}, 503, "0.250"},
+    {error_kind::request_held, milliseconds{400}, 503, ""},
     {error_kind::outcome_unknown, milliseconds{400}, 502, ""},
     {error_kind::deadline_exceeded, milliseconds{400}, 504, ""},
     {error_kind::unknown_service, milliseconds{0}, 404, ""},
