--- a/include/figreach/direct/direct_settings.h
+++ b/include/figreach/direct/direct_settings.h
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <vector>
 
+#include "figreach/direct/request_digest.h"
 #include "figreach/fault.h"
 #include "figreach/ids.h"
 #include "figreach/time.h"
@@ -27,7 +28,7 @@
     std::uint32_t repeat_allowance = 64; ///< retries beyond the share, total of all hosts
     milliseconds max_hold{10000};        ///< longest grant that backend servers accept
     milliseconds report_interval{1000};  ///< between reports of a backend server to the store
-    std::vector<std::string> released_requests = {}; ///< digests, cleared at each reload
+    std::vector<request_digest> released_requests = {}; ///< cleared at each reload
 };
 
 struct parsed_direct_settings {
--- a/src/direct/direct_settings.cpp
+++ b/src/direct/direct_settings.cpp
@@ -42,7 +42,14 @@
         in.seconds_or("longest_hold_s", value.max_hold, milliseconds{500}, max_duration);
     value.report_interval =
         in.seconds_or("report_interval_s", value.report_interval, milliseconds{1}, max_duration);
-    value.released_requests = in.texts_or("released_requests", {});
+    for (const auto& text : in.texts_or("released_requests", {})) {
+        if (const auto digest = parse_request_digest(text)) {
+            value.released_requests.push_back(*digest);
+        }
+        else {
+            in.add_fault("released_requests", "'" + text + "'", "digests of 32 hexadecimal digits");
+        }
+    }
     in.reject_unknown_keys();
     return out;
 }
--- a/src/direct/runtime/host_context.cpp
+++ b/src/direct/runtime/host_context.cpp
@@ -233,10 +233,8 @@
 
 void host_context::release_requests()
 {
-    for (const auto& text : this->settings.released_requests) {
-        if (const auto digest = parse_request_digest(text)) {
-            this->suspects.on_answered(*digest, monotonic_time::clock::now());
-        }
+    for (const auto& digest : this->settings.released_requests) {
+        this->suspects.on_answered(digest, monotonic_time::clock::now());
     }
     this->log_crash_changes();
 }
