--- a/src/direct/crash_suspects.cpp
+++ b/src/direct/crash_suspects.cpp
@@ -66,7 +66,15 @@
 
 void crash_suspects::on_alive(const server_lifetime& server, monotonic_time at)
 {
+    const auto found = this->lives.find(server);
+    if (found == this->lives.end()) {
+        return;
+    }
     this->mark_alive(server, at);
+    const auto listed = found->second.suspects;
+    for (const auto& [digest, losses] : listed) {
+        this->recount(digest, this->known.at(digest), at);
+    }
 }
 
 void crash_suspects::mark_alive(const server_lifetime& server, monotonic_time at)
@@ -79,8 +87,10 @@
 
 void crash_suspects::on_tick(const discovery& find, monotonic_time now)
 {
+    std::set<request_digest> changed;
     for (auto& [server, own] : this->lives) {
         const auto seen = find(server.server);
+        const auto alive_before = own.alive_at;
         if (!seen || seen->lifetime != server.lifetime) {
             continue;
         }
@@ -95,12 +105,21 @@
         if (own.reports >= this->settings.reports_alive) {
             this->mark_alive(server, now);
         }
+        if (own.alive_at != alive_before) {
+            for (const auto& [digest, losses] : own.suspects) {
+                changed.insert(digest);
+            }
+        }
+    }
+    for (const auto& digest : changed) {
+        this->recount(digest, this->known.at(digest), now);
     }
+    // Requests with one loss need no more than this.
     if (now >= this->next_prune) {
         this->next_prune = now + this->settings.prune_interval;
+        this->recount_all(now);
         this->prune(now);
     }
-    this->recount_all(now);
 }
 
 /// Keeps the later of two losses of one server, and the newest of all.
