--- a/include/figreach/direct/follow.h
+++ b/include/figreach/direct/follow.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "figreach/direct/cluster_state.h"
+#include "figreach/direct/crash_report.h"
 #include "figreach/direct/service_time_sample.h"
 #include "figreach/direct/store.h"
 #include "figreach/time.h"
@@ -35,7 +36,8 @@
     std::vector<service_time_sample> service_times;
     std::vector<server_load> server_loads;
     std::vector<rate_limit_report> rate_limits;
-    store_era era{};            ///< the latest that the host knows
+    std::vector<crash_report> crashes; ///< seen by this host and not told yet
+    store_era era{};                   ///< the latest that the host knows
     bool wants_listing = false; ///< of the parts that it knows in an earlier era than the leader
 };
 
@@ -48,6 +50,7 @@
     std::vector<part_changes> parts;
     std::vector<server_load> server_loads;      ///< the latest reports from all hosts
     std::vector<rate_limit_report> rate_limits; ///< the latest known to any host
+    std::vector<crash_report> crashes;          ///< known to any host
     store_era era{};                            ///< the latest that the leader knows
 };
 
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -27,9 +27,9 @@
     std::uint32_t keyed_servers = 6;
     std::uint32_t unkeyed_servers = 2; ///< of a service that is not divided by key
     std::uint32_t callers = 16;
-    milliseconds fault_time{12000};     ///< period in which faults start
-    milliseconds recovery_time{6000};   ///< after faults ended and hosts had time to restart
-    bool no_restores = false;           ///< the store never comes back from a copy
+    milliseconds fault_time{12000};   ///< period in which faults start
+    milliseconds recovery_time{6000}; ///< after faults ended and hosts had time to restart
+    bool no_restores = false;         ///< the store never comes back from a copy
     std::optional<std::uint32_t> crashing_requests; ///< see plan_settings
     bool servers_ignore_fences = false; ///< violates the fencing contract, so that checks must fail
     std::filesystem::path program;
--- a/src/direct/runtime/store_feed.cpp
+++ b/src/direct/runtime/store_feed.cpp
@@ -379,6 +379,10 @@
         co_return false;
     }
     const auto now = monotonic_time::clock::now();
+    if (this->told != leader) {
+        this->state.suspects.tell_again();
+    }
+    this->told.reset();
     const follow_request poll_request{
         .host = this->state.settings.name,
         .positions = *known,
@@ -386,6 +390,7 @@
         .service_times = this->state.load_tracker.take_service_times(),
         .server_loads = this->state.load_tracker.take_own_reports(now),
         .rate_limits = this->state.rate_limits.take_own_reports(now),
+        .crashes = this->state.suspects.take_own_reports(now),
         .era = this->state.store.era(),
         .wants_listing = now >= this->state.reload_at};
     auto request = make_request(http::verb::post, "/follow", encode(poll_request));
@@ -416,6 +421,8 @@
         this->state.load_tracker.merge(load, monotonic_time::clock::now());
     }
     this->state.merge_rate_limits(decoded->rate_limits, leader.host);
+    this->state.merge_crash_reports(decoded->crashes);
+    this->told = leader;
     this->followed = std::move(leader);
     this->followed_until = monotonic_time::clock::now() + timeout + follow_overlap;
     co_return true;
--- a/test/direct/crashing_request_test.cpp
+++ b/test/direct/crashing_request_test.cpp
@@ -132,11 +132,10 @@
 public:
     standin_platform() : store{this->io, this->model, 1}
     {
-        const store_transaction what{.conditions = {},
-                                     .writes = {{.key = platform::name::configuration_key,
-                                                 .value = make_configuration(),
-                                                 .lease = 0}},
-                                     .removals = {}};
+        const store_transaction what{
+            .conditions = {},
+            .writes = {{.key = platform::name::configuration_key, .value = make_configuration()}},
+            .removals = {}};
         static_cast<void>(this->model.commit(what, monotonic_time::clock::now()));
         for (const auto* service : {keyed_service, unkeyed_service}) {
             for (std::size_t i = 0; i < servers_per_service; ++i) {
