--- a/test/direct/follow_test.cpp
+++ b/test/direct/follow_test.cpp
@@ -92,9 +92,9 @@
 }
 
 struct era_row {
-    const char* name;
+    const char* name = "";
     store_revision known;
-    bool wants_listing;
+    bool wants_listing = false;
     std::optional<bool> whole; ///< whether the answer is a full listing; empty if there is none
 };
 
--- a/test/direct/store_revision_test.cpp
+++ b/test/direct/store_revision_test.cpp
@@ -14,7 +14,7 @@
 static_assert(std::totally_ordered<store_revision>);
 
 struct order_row {
-    const char* name;
+    const char* name = "";
     store_revision earlier;
     store_revision later;
 };
--- a/test/direct/takeover_test.cpp
+++ b/test/direct/takeover_test.cpp
@@ -12,9 +12,9 @@
 constexpr milliseconds last_grant{3356}; ///< order time-out, hold of 2.8 s, 2 % clock drift, margin
 
 struct wait_row {
-    const char* name;
+    const char* name = "";
     predecessor former;
-    milliseconds wait;
+    milliseconds wait{0};
     store_era era{};
 };
 
@@ -57,10 +57,10 @@
 };
 
 struct number_row {
-    const char* name;
-    std::uint64_t latest;
+    const char* name = "";
+    std::uint64_t latest = 0;
     store_era era{};
-    std::uint64_t next;
+    std::uint64_t next = 0;
 };
 
 const number_row number_rows[] = {
@@ -73,10 +73,10 @@
 };
 
 struct adopted_row {
-    const char* name;
+    const char* name = "";
     std::optional<std::uint64_t> next_fence; ///< of the stored table; empty if there is none
     store_era era{};
-    bool trusted; ///< whether the stored owners are the present ones
+    bool trusted = false; ///< whether the stored owners are the present ones
 };
 
 const adopted_row adopted_rows[] = {
--- a/test/platform/store_codec_test.cpp
+++ b/test/platform/store_codec_test.cpp
@@ -36,8 +36,8 @@
 } // namespace
 
 struct era_row {
-    const char* name;
-    const char* field; ///< null if absent
+    const char* name = "";
+    const char* field = nullptr; ///< null if absent
     std::optional<store_era> era;
 };
 
