--- a/test/direct/earlier_leader_test.cpp
+++ b/test/direct/earlier_leader_test.cpp
@@ -1,7 +1,6 @@
 // A leader that was cut off while another led is the first to reach a restored store.
 
-#include "../property.h"
-#include "key_grant_simulation.h"
+#include "one_owner_property.h"
 
 using namespace figreach;
 using namespace figreach::direct;
@@ -14,15 +13,11 @@
 {
     CHECK_PROPERTY("one owner, rising fences, and all keys owned in the end",
                    [](std::uint64_t seed) {
-                       key_grant_simulation simulation{{.seed = seed,
-                                                        .store_restored = true,
-                                                        .former_leaders_continue = true,
-                                                        .leaders_resign = true,
-                                                        .authority = outage_authority,
-                                                        .calm = seconds{30}}};
-                       simulation.run();
-                       RC_ASSERT(simulation.double_owners == 0U);
-                       RC_ASSERT(simulation.fences_not_above == 0U);
-                       RC_ASSERT(simulation.unowned_for_a_second() == 0U);
+                       require_one_owner({.store_restored = true,
+                                          .former_leaders_continue = true,
+                                          .leaders_resign = true,
+                                          .authority = outage_authority,
+                                          .calm = seconds{30}},
+                                         seed);
                    });
 }
--- a/test/direct/restored_store_resign_test.cpp
+++ b/test/direct/restored_store_resign_test.cpp
@@ -1,7 +1,6 @@
 // As restored_store_test, with leaders that resign and servers that restart under their ids.
 
-#include "../property.h"
-#include "key_grant_simulation.h"
+#include "one_owner_property.h"
 
 using namespace figreach;
 using namespace figreach::direct;
@@ -14,14 +13,10 @@
 {
     CHECK_PROPERTY("one owner, rising fences, and all keys owned in the end",
                    [](std::uint64_t seed) {
-                       key_grant_simulation simulation{{.seed = seed,
-                                                        .store_restored = true,
-                                                        .leaders_resign = true,
-                                                        .authority = outage_authority,
-                                                        .calm = seconds{30}}};
-                       simulation.run();
-                       RC_ASSERT(simulation.double_owners == 0U);
-                       RC_ASSERT(simulation.fences_not_above == 0U);
-                       RC_ASSERT(simulation.unowned_for_a_second() == 0U);
+                       require_one_owner({.store_restored = true,
+                                          .leaders_resign = true,
+                                          .authority = outage_authority,
+                                          .calm = seconds{30}},
+                                         seed);
                    });
 }
--- a/test/direct/restored_store_test.cpp
+++ b/test/direct/restored_store_test.cpp
@@ -1,7 +1,6 @@
 // The store comes back from a copy of itself that is some seconds old.
 
-#include "../property.h"
-#include "key_grant_simulation.h"
+#include "one_owner_property.h"
 
 using namespace figreach;
 using namespace figreach::direct;
@@ -13,13 +12,7 @@
 TEST(restored_store_test, one_owner_and_rising_fences_when_the_store_goes_back)
 {
     CHECK_PROPERTY("one owner, rising fences, and all keys owned in the end",
-                   [](std::uint64_t seed) {
-                       key_grant_simulation simulation{{.seed = seed, .store_restored = true}};
-                       simulation.run();
-                       RC_ASSERT(simulation.double_owners == 0U);
-                       RC_ASSERT(simulation.fences_not_above == 0U);
-                       RC_ASSERT(simulation.unowned_for_a_second() == 0U);
-                   });
+                   [](std::uint64_t seed) { require_one_owner({.store_restored = true}, seed); });
 }
 
 /// Guards against an earlier wait being cut short by a resignation in the new era.
@@ -27,16 +20,12 @@
 {
     CHECK_PROPERTY("one owner, rising fences, and all keys owned in the end",
                    [](std::uint64_t seed) {
-                       key_grant_simulation simulation{{.seed = seed,
-                                                        .servers_restart = false,
-                                                        .store_restored = true,
-                                                        .leaders_resign = true,
-                                                        .authority = outage_authority,
-                                                        .calm = seconds{30}}};
-                       simulation.run();
-                       RC_ASSERT(simulation.double_owners == 0U);
-                       RC_ASSERT(simulation.fences_not_above == 0U);
-                       RC_ASSERT(simulation.unowned_for_a_second() == 0U);
+                       require_one_owner({.servers_restart = false,
+                                          .store_restored = true,
+                                          .leaders_resign = true,
+                                          .authority = outage_authority,
+                                          .calm = seconds{30}},
+                                         seed);
                    });
 }
 
--- a/test/direct/successive_leaders_test.cpp
+++ b/test/direct/successive_leaders_test.cpp
@@ -1,7 +1,6 @@
 // Leaders that take over and resign while an earlier one goes on without the store.
 
-#include "../property.h"
-#include "key_grant_simulation.h"
+#include "one_owner_property.h"
 
 using namespace figreach;
 using namespace figreach::direct;
@@ -12,15 +11,9 @@
 /// Guards against forgetting the wait for a leader without the store when its successor resigns.
 TEST(successive_leaders_test, one_owner_when_a_successor_resigns)
 {
-    CHECK_PROPERTY("one owner, rising fences, and all keys owned in the end",
-                   [](std::uint64_t seed) {
-                       key_grant_simulation simulation{{.seed = seed,
-                                                        .leaders_resign = true,
-                                                        .authority = outage_authority,
-                                                        .calm = seconds{30}}};
-                       simulation.run();
-                       RC_ASSERT(simulation.double_owners == 0U);
-                       RC_ASSERT(simulation.fences_not_above == 0U);
-                       RC_ASSERT(simulation.unowned_for_a_second() == 0U);
-                   });
+    CHECK_PROPERTY(
+        "one owner, rising fences, and all keys owned in the end", [](std::uint64_t seed) {
+            require_one_owner(
+                {.leaders_resign = true, .authority = outage_authority, .calm = seconds{30}}, seed);
+        });
 }
