One grace period for what the store lacks after it was away or restored

The directory extended its grace in three places, and cluster_state had a constant of its own for the same time. The directory does it in expect_return() now, and the time is directory_settings::return_grace.

--- a/include/figreach/direct/server_directory.h
+++ b/include/figreach/direct/server_directory.h
@@ -10,7 +10,8 @@
 namespace figreach::direct {
 
 struct directory_settings {
-    /// Entries that lapsed during a store outage are back within about 2 s of its end.
+    /// Entries that lapsed during a store outage, or that a restored store lacks, are back within
+    /// about 2 s.
     milliseconds return_grace{2500};
     /// An entry lapses after three report intervals without a report, and the last report came up
     /// to one interval before the outage. No entry lapses during a shorter outage.
@@ -49,8 +50,8 @@
     /// Handles the return of the store after an outage of length `away`, after which missing
     /// entries may come back.
     void on_store_reconnected(milliseconds away, monotonic_time now);
-    /// Handles the return of the store from an older copy, which lacks the latest entries.
-    void on_store_restored(monotonic_time now);
+    /// Begins a grace period in which missing entries may come back.
+    void expect_return(monotonic_time now);
     /// Ends entries whose grace period has passed and drops old records.
     void on_tick(monotonic_time now);
 
--- a/src/direct/cluster_state.cpp
+++ b/src/direct/cluster_state.cpp
@@ -10,8 +10,6 @@
 
 /// Maximum number of malformed items that are remembered in order to report each only once.
 constexpr std::size_t max_unreadable_keys = 1000;
-/// Servers and operators write again within about two seconds what a restored store lacks.
-constexpr milliseconds restore_grace{2500};
 
 item_update decoded_or_unreadable(const std::string& key, auto decoded, auto make)
 {
@@ -70,7 +68,10 @@
     return ignored_item{};
 }
 
-cluster_state::cluster_state(directory_settings settings) : directory{settings} {}
+cluster_state::cluster_state(directory_settings settings)
+    : directory{settings}, return_grace{settings.return_grace}
+{
+}
 
 std::vector<state_change> cluster_state::apply(store_part part,
                                                const std::vector<item_update>& updates, bool whole,
@@ -99,8 +100,8 @@
 
 void cluster_state::on_store_restored(monotonic_time now)
 {
-    this->directory.on_store_restored(now);
-    this->restore_grace_until = now + restore_grace;
+    this->directory.expect_return(now);
+    this->restore_grace_until = now + this->return_grace;
 }
 
 std::vector<state_change> cluster_state::on_tick(monotonic_time now)
--- a/src/direct/server_directory.cpp
+++ b/src/direct/server_directory.cpp
@@ -93,7 +93,7 @@
     constexpr std::size_t whole = 100;
     if (lost.size() >= this->settings.min_mass_loss &&
         lost.size() * whole >= present * this->settings.mass_loss_percent) {
-        this->grace_until = std::max(this->grace_until, now + this->settings.return_grace);
+        this->expect_return(now);
     }
     for (auto* record : lost) {
         if (now < this->grace_until) {
@@ -110,10 +110,10 @@
     if (away < this->settings.min_outage) {
         return;
     }
-    this->grace_until = std::max(this->grace_until, now + this->settings.return_grace);
+    this->expect_return(now);
 }
 
-void server_directory::on_store_restored(monotonic_time now)
+void server_directory::expect_return(monotonic_time now)
 {
     this->grace_until = std::max(this->grace_until, now + this->settings.return_grace);
 }
