Keep the latest era of the store in its client only

The host kept a copy of what the store client knows, to tell the first era from a later one. The client tells the former era with each new one.

--- a/include/figreach/direct/cluster_state.h
+++ b/include/figreach/direct/cluster_state.h
@@ -173,7 +173,7 @@
                          std::vector<state_change>& out, monotonic_time now);
 
     server_directory directory;
-    milliseconds return_grace; ///< for what a restored store lacks
+    milliseconds return_grace;            ///< for what a restored store lacks
     std::vector<backend_server_id> ended; ///< servers removed by the current batch
     std::shared_ptr<route_table> current_routes;
     std::map<service_id, key_table_update> tables;
--- a/include/figreach/direct/runtime/host_context.h
+++ b/include/figreach/direct/runtime/host_context.h
@@ -34,9 +34,9 @@
     /// Records whether the store answered a call made at `called_at`. Logs when the store becomes
     /// unreachable or reachable again.
     void record_store_call(bool answered, monotonic_time called_at);
-    /// Records and logs that the store names a later era. After the first one, the store came back
-    /// from an older copy.
-    void record_store_era(store_era era);
+    /// Records and logs that the store names a later era. If there was a former one, the store came
+    /// back from an older copy.
+    void record_store_era(store_era era, std::optional<store_era> former);
     /// Records a new connection to a backend server.
     void record_server_connected();
     /// Records an answer of a backend server.
@@ -89,8 +89,8 @@
     peer_health peers;
     std::map<service_id, retry_budget> retry_budgets;
     std::uint64_t random_state;
-    std::optional<store_era> known_era; ///< latest era of the store
-    monotonic_time era_seen_at{};       ///< when it was first seen, including time spent suspended
+    /// When the latest era of the store was first seen, including time spent suspended.
+    monotonic_time era_seen_at{};
     /// When this host loads again what it knows of the store's former era, at the latest.
     monotonic_time reload_at{};
     bool store_reachable = true;
--- a/src/direct/runtime/host_context.cpp
+++ b/src/direct/runtime/host_context.cpp
@@ -63,7 +63,8 @@
       metrics_page{metrics_page_},
       requests{metrics_page_.add_request_thread()},
       lifetime{start_time_ms()},
-      store{io_, settings_.store_address, [this](store_era era) { this->record_store_era(era); }},
+      store{io_, settings_.store_address,
+            [this](store_era era, auto former) { this->record_store_era(era, former); }},
       cluster{directory_settings{.min_outage = absence_reports * settings_.report_interval}},
       cluster_changed{io_},
       load_tracker{load_tracker_settings{}},
@@ -95,19 +96,18 @@
     this->cluster_changed.notify();
 }
 
-void host_context::record_store_era(store_era era)
+void host_context::record_store_era(store_era era, std::optional<store_era> former)
 {
     log_event(log_level::warn, "store_era",
               {{"era", era_text(era)},
-               {"former", this->known_era ? era_text(*this->known_era) : "none"},
+               {"former", former ? era_text(*former) : "none"},
                {"leads", this->leads ? "true" : "false"}});
-    if (this->known_era) {
+    if (former) {
         const auto now = monotonic_time::clock::now();
         this->cluster.on_store_restored(now);
         this->reload_at = now + this->spread_delay();
         this->cluster_changed.notify();
     }
-    this->known_era = era;
     this->era_seen_at = time_with_suspension();
 }
 
