Compare lifetimes of owners in one way, and look ranges up only for owners that restarted

is_outdated and has_restarted are two sides of one comparison; one was a free function, the other a static member with the arguments the other way round. The leader looked up the state of every range at each tick before it compared lifetimes; it compares first now.

--- a/include/figreach/direct/key_grant_manager.h
+++ b/include/figreach/direct/key_grant_manager.h
@@ -147,7 +147,6 @@
     [[nodiscard]] milliseconds hold_for_move(const range_state& state, monotonic_time now) const;
     [[nodiscard]] bool is_unresponsive(const backend_server_id& id) const;
     [[nodiscard]] bool is_replaced(const backend_server_id& id, std::uint64_t lifetime) const;
-    [[nodiscard]] static bool has_restarted(const key_range& range, const key_server* owner);
     [[nodiscard]] bool has_ended(const key_range& range, const key_server* owner,
                                  monotonic_time now) const;
     [[nodiscard]] std::vector<key_server> exclude_unavailable(std::vector<key_server> servers,
--- a/src/direct/key_grant_manager.cpp
+++ b/src/direct/key_grant_manager.cpp
@@ -25,6 +25,12 @@
     return entry.lifetime < range.owner_lifetime;
 }
 
+/// Whether the owner runs again under its id.
+bool has_restarted(const key_server& entry, const key_range& range)
+{
+    return entry.lifetime > range.owner_lifetime;
+}
+
 bool any_takes_keys(const std::vector<key_server>& servers)
 {
     return std::any_of(servers.begin(), servers.end(),
@@ -120,12 +126,6 @@
     return found != this->replaced.end() && found->second == lifetime;
 }
 
-/// Whether the owner runs again under its id. The list of servers may also be older than the table.
-bool key_grant_manager::has_restarted(const key_range& range, const key_server* owner)
-{
-    return owner != nullptr && owner->lifetime > range.owner_lifetime;
-}
-
 /// Whether the process that was granted the keys is known to have ended, and no later one with its
 /// id holds them. Orders name the id only, so the next life may have taken a grant meant for it.
 bool key_grant_manager::has_ended(const key_range& range, const key_server* owner,
@@ -141,7 +141,8 @@
         return true;
     }
     const auto& state = this->states.at(range.keys.first);
-    return has_restarted(range, owner) && this->is_settled(range) && now >= state.latest_hold_end();
+    return has_restarted(*owner, range) && this->is_settled(range) &&
+           now >= state.latest_hold_end();
 }
 
 /// Sends the next order about one range if it is due.
@@ -580,7 +581,8 @@
 {
     for (auto& range : draft.ranges) {
         const auto* owner = find_server(servers, range.owner);
-        if (this->state_of_unchanged(range) != nullptr && has_restarted(range, owner)) {
+        const bool restarted = owner != nullptr && has_restarted(*owner, range);
+        if (restarted && this->state_of_unchanged(range) != nullptr) {
             range.owner_lifetime = owner->lifetime;
             range.fence = draft.next_fence++;
             range.handover.clear();
