Terms of a leader: one place that makes them, knows its own and extends their lease

Three places filled a leader_term with this host, two asked whether a term is of this process, and three set the end of the lease and the authority that follows from it.

--- a/include/figreach/direct/runtime/leadership.h
+++ b/include/figreach/direct/runtime/leadership.h
@@ -50,6 +50,9 @@
         store_revision revision; ///< revision of the key table in the store
     };
     struct term_state {
+        /// The lease was opened or renewed by a call sent at `sent_at`.
+        void extend_lease(monotonic_time sent_at);
+
         std::uint64_t term = 0;
         store_lease lease;
         monotonic_time lease_until{}; ///< the lease lasts at least until then
@@ -80,6 +83,8 @@
     };
     boost::asio::awaitable<std::optional<term_claim>>
     make_new_era_claim(std::shared_ptr<term_state> own, store_lease lease);
+    [[nodiscard]] leader_term make_term(std::uint64_t term, milliseconds hold) const;
+    [[nodiscard]] bool is_own(const leader_term& term) const;
     [[nodiscard]] bool is_of_earlier_era(const term_state& own) const;
     boost::asio::awaitable<void> notify_former_leader(std::shared_ptr<term_state> own,
                                                       host_id former);
--- a/src/direct/runtime/leadership.cpp
+++ b/src/direct/runtime/leadership.cpp
@@ -177,11 +177,8 @@
     const auto former = decode_leader_term(item->value).value_or(leader_term{});
     const auto known = this->state.cluster.term();
     const auto manager_settings = this->current_settings();
-    const leader_term next{.term = next_term(std::max(former.term, known.term), era),
-                           .host = this->state.settings.name,
-                           .host_lifetime = this->state.lifetime,
-                           .resigned = false,
-                           .hold = manager_settings.hold};
+    const auto next =
+        this->make_term(next_term(std::max(former.term, known.term), era), manager_settings.hold);
     auto claim = make_term_claim(next, *opened, {era, 0}, item->revision);
     const auto written = co_await store.commit(std::move(claim), call_timeout);
     const auto* revision = std::get_if<store_revision>(&written);
@@ -194,12 +191,10 @@
     own->term_revision = *revision;
     own->manager_settings = manager_settings;
     own->former_hold = std::max(former.hold, manager_settings.hold);
-    own->lease_until = sent_at + lease_duration;
-    own->authority_until = own->lease_until + outage_authority;
+    own->extend_lease(sent_at);
     const predecessor before{.stored = former,
                              .known_term = known.term,
-                             .was_self = former.host == this->state.settings.name &&
-                                         former.host_lifetime == this->state.lifetime,
+                             .was_self = this->is_own(former),
                              .handed_over_term = this->handed_over_term};
     own->former_orders_end =
         std::max(time_with_suspension() + former_orders_wait(before, era, manager_settings),
@@ -299,12 +294,32 @@
             co_return;
         }
         if (!failure) {
-            own->lease_until = sent_at + lease_duration;
-            own->authority_until = own->lease_until + outage_authority;
+            own->extend_lease(sent_at);
         }
     }
 }
 
+void leadership::term_state::extend_lease(monotonic_time sent_at)
+{
+    this->lease_until = sent_at + lease_duration;
+    this->authority_until = this->lease_until + outage_authority;
+}
+
+/// A term in which this process leads.
+leader_term leadership::make_term(std::uint64_t term, milliseconds hold) const
+{
+    return {.term = term,
+            .host = this->state.settings.name,
+            .host_lifetime = this->state.lifetime,
+            .hold = hold};
+}
+
+/// Whether this process leads or led in the term.
+bool leadership::is_own(const leader_term& term) const
+{
+    return term.host == this->state.settings.name && term.host_lifetime == this->state.lifetime;
+}
+
 bool leadership::is_of_earlier_era(const term_state& own) const
 {
     return own.term_revision.era() < this->state.store.era();
@@ -341,8 +356,7 @@
         own->term = claim->term;
         own->lease = *lease;
         own->term_revision = *revision;
-        own->lease_until = sent_at + lease_duration;
-        own->authority_until = own->lease_until + outage_authority;
+        own->extend_lease(sent_at);
         for (auto& item : own->services) {
             item.second.revision = *revision;
         }
@@ -368,16 +382,12 @@
     }
     const auto stored = decode_leader_term(term_item->value).value_or(leader_term{});
     // An earlier claim of this loop may have taken effect without an answer.
-    const bool is_own =
-        stored.host == this->state.settings.name && stored.host_lifetime == this->state.lifetime;
-    if (stored.term >= first_number_of(lease.era) && !is_own) {
+    if (stored.term >= first_number_of(lease.era) && !this->is_own(stored)) {
         this->step_down(own, "newer_term");
         co_return std::nullopt;
     }
-    const leader_term next{.term = next_term(std::max(own->term, stored.term), lease.era),
-                           .host = this->state.settings.name,
-                           .host_lifetime = this->state.lifetime,
-                           .hold = own->manager_settings.hold};
+    const auto next = this->make_term(next_term(std::max(own->term, stored.term), lease.era),
+                                      own->manager_settings.hold);
     term_claim claim{.term = next.term,
                      .transaction =
                          make_term_claim(next, lease, leader_item->revision, term_item->revision)};
@@ -422,12 +432,9 @@
 asio::awaitable<void> leadership::record_resignation(std::shared_ptr<term_state> own)
 {
     co_await this->wait_for_pending_grants();
-    const leader_term last{.term = own->term,
-                           .host = this->state.settings.name,
-                           .host_lifetime = this->state.lifetime,
-                           .resigned = true,
-                           .hold = own->manager_settings.hold,
-                           .former_orders = time_until(own->former_orders_end)};
+    auto last = this->make_term(own->term, own->manager_settings.hold);
+    last.resigned = true;
+    last.former_orders = time_until(own->former_orders_end);
     store_transaction resignation{.era = own->term_revision.era()};
     resignation.conditions = {{.key = term_key, .revision = own->term_revision}};
     resignation.writes = {{.key = term_key, .value = encode(last)}};
