Choose senders, read the level of a request and leave without a server in one place each

The list of hosts that send suspected requests was built by the loop of those that send to limited servers; both call usable_senders. attempt and attempt_alone turned the same choices into the same events, and three places asked for the level of a request that may have no digest.

--- a/include/figreach/direct/runtime/request_runner.h
+++ b/include/figreach/direct/runtime/request_runner.h
@@ -93,6 +93,7 @@
                                                         const std::string& request_id);
     [[nodiscard]] attempt_event handle_result(const exchange_result& result, const target& to,
                                               nanoseconds latency);
+    [[nodiscard]] static std::optional<attempt_event> event_without_target(const choice& chosen);
     [[nodiscard]] choice select_target(const caller_request& request);
     [[nodiscard]] choice select_owner(const caller_request& request);
     [[nodiscard]] choice select_any_server(const caller_request& request);
@@ -102,8 +103,11 @@
     [[nodiscard]] choice admit_load(target to);
     [[nodiscard]] std::vector<host_id> preferred_senders(const caller_request& request,
                                                          const target& to, bool reachable) const;
+    [[nodiscard]] std::vector<host_id> usable_senders(std::vector<host_id> ordered,
+                                                      bool can_send) const;
     [[nodiscard]] std::vector<host_id> helpers(const caller_request& request) const;
     [[nodiscard]] std::vector<host_id> suspect_senders(const caller_request& request) const;
+    [[nodiscard]] crash_level level_of(const caller_request& request, monotonic_time now) const;
     [[nodiscard]] bool is_suspected(const caller_request& request) const;
     void record_evidence(const caller_request& request, const exchange_result& result,
                          const target& to, monotonic_time sent_at);
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -192,8 +192,7 @@
     if (now + min_time_left >= this->deadline) {
         co_return deadline_passed{};
     }
-    const auto level =
-        request.digest ? this->state.suspects.level(*request.digest, now) : crash_level::none;
+    const auto level = this->level_of(request, now);
     this->highest_level = std::max(this->highest_level, level);
     if (level == crash_level::held) {
         co_return rejected_locally{.kind = error_kind::request_held, .retry_after = {}};
@@ -202,13 +201,27 @@
         co_return co_await this->attempt_alone(request);
     }
     const auto chosen = this->select_target(request);
+    if (const auto without = event_without_target(chosen)) {
+        co_return *without;
+    }
+    co_return co_await this->send_or_forward(request, std::get<target>(chosen));
+}
+
+/// The event for a choice that names no target.
+std::optional<attempt_event> request_runner::event_without_target(const choice& chosen)
+{
     if (std::holds_alternative<wait_for_change>(chosen)) {
-        co_return route_resolved{route_location::none};
+        return route_resolved{route_location::none};
     }
     if (const auto* refusal = std::get_if<host_refusal>(&chosen)) {
-        co_return rejected_locally{.kind = refusal->kind, .retry_after = refusal->retry_after};
+        return rejected_locally{.kind = refusal->kind, .retry_after = refusal->retry_after};
     }
-    co_return co_await this->send_or_forward(request, std::get<target>(chosen));
+    return std::nullopt;
+}
+
+crash_level request_runner::level_of(const caller_request& request, monotonic_time now) const
+{
+    return request.digest ? this->state.suspects.level(*request.digest, now) : crash_level::none;
 }
 
 asio::awaitable<attempt_event> request_runner::send_or_forward(const caller_request& request,
@@ -234,16 +247,13 @@
     const auto until = std::min(this->deadline, monotonic_time::clock::now() + alone_wait_limit);
     for (;;) {
         const auto now = monotonic_time::clock::now();
-        if (suspects.level(*request.digest, now) == crash_level::held) {
+        if (this->level_of(request, now) == crash_level::held) {
             this->highest_level = crash_level::held;
             co_return rejected_locally{.kind = error_kind::request_held, .retry_after = {}};
         }
         const auto chosen = this->select_target(request);
-        if (std::holds_alternative<wait_for_change>(chosen)) {
-            co_return route_resolved{route_location::none};
-        }
-        if (const auto* refusal = std::get_if<host_refusal>(&chosen)) {
-            co_return rejected_locally{.kind = refusal->kind, .retry_after = refusal->retry_after};
+        if (const auto without = event_without_target(chosen)) {
+            co_return *without;
         }
         const auto& to = std::get<target>(chosen);
         if (suspects.try_start(*request.digest, to.id, now)) {
@@ -265,29 +275,17 @@
 /// requests go to one host, so that no two of them meet at a server.
 std::vector<host_id> request_runner::suspect_senders(const caller_request& request) const
 {
-    std::vector<host_id> out;
     if (request.forwarded) {
-        return out;
-    }
-    const auto now = monotonic_time::clock::now();
-    for (auto& name : order_helpers("crash_suspects", this->state.cluster)) {
-        if (name == this->state.settings.name || out.size() == max_forward_tries) {
-            return out;
-        }
-        if (this->state.peers.is_usable(name, now)) {
-            out.push_back(std::move(name));
-        }
+        return {};
     }
-    return out;
+    return this->usable_senders(order_helpers("crash_suspects", this->state.cluster), true);
 }
 
 /// Whether the request was suspected at any attempt, or is now. Then it is not sent again.
 bool request_runner::is_suspected(const caller_request& request) const
 {
-    const auto now = monotonic_time::clock::now();
     return this->highest_level != crash_level::none ||
-           (request.digest &&
-            this->state.suspects.level(*request.digest, now) != crash_level::none);
+           this->level_of(request, monotonic_time::clock::now()) != crash_level::none;
 }
 
 /// Records whether the server answered or ended during the send.
@@ -439,14 +437,22 @@
 std::vector<host_id> request_runner::preferred_senders(const caller_request& request,
                                                        const target& to, bool reachable) const
 {
-    std::vector<host_id> out;
     if (request.forwarded && request.forwarded->hops_left == 0) {
-        return out;
+        return {};
     }
+    return this->usable_senders(order_senders(to.id, to.failure_domain, this->state.cluster),
+                                reachable);
+}
+
+/// The first usable hosts of `ordered`, up to this one if it can send.
+std::vector<host_id> request_runner::usable_senders(std::vector<host_id> ordered,
+                                                    bool can_send) const
+{
+    std::vector<host_id> out;
     const auto now = monotonic_time::clock::now();
-    for (auto& name : order_senders(to.id, to.failure_domain, this->state.cluster)) {
+    for (auto& name : ordered) {
         const bool is_self = name == this->state.settings.name;
-        if ((is_self && reachable) || out.size() == max_forward_tries) {
+        if ((is_self && can_send) || out.size() == max_forward_tries) {
             return out;
         }
         if (!is_self && this->state.peers.is_usable(name, now)) {
