Split the choice of a server from the sending of a request

request_runner.cpp had two jobs in 870 lines: which server or host a request goes to, and what becomes of each send. The first is in request_selection.cpp. Functions are moved, not changed.

--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -3,10 +3,9 @@
 #include <algorithm>
 #include <utility>
 
-#include "figreach/direct/admission.h"
-#include "figreach/direct/peer_choice.h"
 #include "figreach/direct/runtime/forwarding.h"
 #include "figreach/runtime/log.h"
+#include "retry_delays.h"
 
 namespace figreach::direct {
 
@@ -18,25 +17,15 @@
 /// Maximum time a request waits for an owner while its keys move.
 constexpr milliseconds owner_wait_limit{400};
 constexpr milliseconds owner_poll_interval{50};
-constexpr milliseconds no_owner_retry_delay{400};
-constexpr milliseconds refused_retry_delay{250};
 constexpr milliseconds connect_timeout{400};
 /// For all peers that are tried for a request. A host answers a connection attempt at once unless
 /// it is down or partitioned.
 constexpr milliseconds peers_connect_timeout{250};
-/// Peers may be cut off from the servers as well, of which this host learns only by trying.
-constexpr std::size_t max_forward_tries = 4;
 /// A suspected request waits this long for those that are sent alone before it.
 constexpr milliseconds alone_wait_limit{1000};
 constexpr milliseconds alone_poll_interval{20};
 constexpr milliseconds min_time_left{5}; ///< a request with less time left is not sent
-/// A leaving owner still receives requests for its keys during this percentage of the leaving
-/// limit.
-constexpr std::int64_t leaving_percent = 40;
-constexpr std::int64_t whole_percent = 100;
 constexpr unsigned first_server_error = 500;
-/// Below 100 because connections that are still closing also count at the server.
-constexpr std::uint64_t used_connections_percent = 80;
 
 attempt_settings make_attempt_settings()
 {
@@ -271,16 +260,6 @@
     }
 }
 
-/// The hosts that send suspected requests, up to this one; empty if this host sends. All of these
-/// requests go to one host, so that no two of them meet at a server.
-std::vector<host_id> request_runner::suspect_senders(const caller_request& request) const
-{
-    if (request.forwarded) {
-        return {};
-    }
-    return this->usable_senders(order_helpers("crash_suspects", this->state.cluster), true);
-}
-
 /// Whether the request was suspected at any attempt, or is now. Then it is not sent again.
 bool request_runner::is_suspected(const caller_request& request) const
 {
@@ -321,253 +300,6 @@
     this->state.log_crash_changes();
 }
 
-request_runner::choice request_runner::select_target(const caller_request& request)
-{
-    return this->service->divided_by_key ? this->select_owner(request)
-                                         : this->select_any_server(request);
-}
-
-request_runner::target request_runner::make_target(const server_record& record) const
-{
-    return {.id = record.entry.id,
-            .address = record.entry.address,
-            .lifetime = record.entry.lifetime,
-            .failure_domain = record.entry.failure_domain,
-            .slots = record.entry.slots,
-            .cold = monotonic_time::clock::now() < record.cold_until};
-}
-
-request_runner::choice request_runner::select_owner(const caller_request& request)
-{
-    const auto* table = this->state.cluster.keys(this->service->name);
-    if (table == nullptr) {
-        return wait_for_change{};
-    }
-    const auto& range = range_of(*table, *request.head.key);
-    const auto* record = this->state.cluster.servers().find(range.owner);
-    if (record == nullptr || range.moving || record->entry.lifetime != range.owner_lifetime ||
-        this->state.cluster.is_out(record->entry.failure_domain)) {
-        return wait_for_change{};
-    }
-    const auto now = monotonic_time::clock::now();
-    const auto leaving_limit = this->state.settings.leaving_limit * leaving_percent / whole_percent;
-    if (record->leaving_since && now >= *record->leaving_since + leaving_limit) {
-        return wait_for_change{};
-    }
-    auto out = this->make_target(*record);
-    out.fence = range.fence;
-    auto admitted = this->admit(request, std::move(out));
-    auto* refusal = std::get_if<host_refusal>(&admitted);
-    if (refusal != nullptr && refusal->kind == error_kind::server_at_limit) {
-        refusal->retry_after = this->state.rate_limits.next_return(range.owner, now);
-    }
-    return admitted;
-}
-
-/// Picks the cheaper of two random servers that accept new work (power of two choices). If this
-/// host can connect to none of them, a peer picks one.
-request_runner::choice request_runner::select_any_server(const caller_request& request)
-{
-    const auto now = monotonic_time::clock::now();
-    std::vector<target> candidates;
-    std::vector<double> costs;
-    std::optional<target> unreachable;
-    host_refusal refusal{.kind = error_kind::no_owner, .retry_after = no_owner_retry_delay};
-    for (const auto* record : this->state.cluster.servers_for_new_work(this->service->name)) {
-        const auto& id = record->entry.id;
-        const bool is_other = request.forwarded && !request.forwarded->server.empty() &&
-                              request.forwarded->server != id;
-        if (is_other || this->tried_servers.contains(id)) {
-            continue;
-        }
-        auto to = this->make_target(*record);
-        if (!this->can_reach(to)) {
-            if (this->is_reached_by_others(id)) {
-                unreachable = std::move(to);
-            }
-            continue;
-        }
-        // Which host sends to a limited server is decided only for the one that is chosen.
-        const auto held_off = this->state.rate_limits.held_off_for(id, now);
-        auto admitted = this->state.rate_limits.rate_of(id) ? choice{std::move(to)}
-                                                            : this->admit_load(std::move(to));
-        if (held_off > milliseconds{0}) {
-            admitted = host_refusal{.kind = error_kind::server_at_limit, .retry_after = held_off};
-        }
-        if (const auto* refused = std::get_if<host_refusal>(&admitted)) {
-            refusal = *refused;
-            continue;
-        }
-        candidates.push_back(std::get<target>(std::move(admitted)));
-        costs.push_back(this->state.load_tracker.cost(id, candidates.back().slots, now));
-    }
-    while (const auto chosen = cheaper_of_two(costs, this->state.random_state)) {
-        auto admitted = this->admit(request, candidates[*chosen]);
-        if (!std::holds_alternative<host_refusal>(admitted)) {
-            return admitted;
-        }
-        refusal = std::get<host_refusal>(admitted);
-        candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(*chosen));
-        costs.erase(costs.begin() + static_cast<std::ptrdiff_t>(*chosen));
-    }
-    return unreachable ? this->pass_on(request, *unreachable) : refusal;
-}
-
-/// This host's share of the connections that a backend server accepts from all hosts.
-std::uint32_t request_runner::max_connections_per_server() const
-{
-    const auto hosts = std::max<std::size_t>(this->state.cluster.host_count(), 1);
-    const auto shared = std::uint64_t{this->service->most_connections} * used_connections_percent /
-                        static_cast<std::uint64_t>(whole_percent);
-    return static_cast<std::uint32_t>(std::max<std::uint64_t>(shared / hosts, 1));
-}
-
-/// Whether this host may be able to connect to the server.
-bool request_runner::can_reach(const target& to) const
-{
-    const auto now = monotonic_time::clock::now();
-    const auto& path = this->state.path;
-    const bool may_connect =
-        !path.connects_fail() && this->state.load_tracker.is_reachable(to.id, now);
-    return !path.is_lost() && (may_connect || this->state.server_connections.has_idle(to.address));
-}
-
-/// The hosts that send to a server that limits its rate, up to this one if it reaches the server.
-/// Empty if this host sends.
-std::vector<host_id> request_runner::preferred_senders(const caller_request& request,
-                                                       const target& to, bool reachable) const
-{
-    if (request.forwarded && request.forwarded->hops_left == 0) {
-        return {};
-    }
-    return this->usable_senders(order_senders(to.id, to.failure_domain, this->state.cluster),
-                                reachable);
-}
-
-/// The first usable hosts of `ordered`, up to this one if it can send.
-std::vector<host_id> request_runner::usable_senders(std::vector<host_id> ordered,
-                                                    bool can_send) const
-{
-    std::vector<host_id> out;
-    const auto now = monotonic_time::clock::now();
-    for (auto& name : ordered) {
-        const bool is_self = name == this->state.settings.name;
-        if ((is_self && can_send) || out.size() == max_forward_tries) {
-            return out;
-        }
-        if (!is_self && this->state.peers.is_usable(name, now)) {
-            out.push_back(std::move(name));
-        }
-    }
-    return out;
-}
-
-/// The hosts that may send for this one, those first that have done so lately.
-std::vector<host_id> request_runner::helpers(const caller_request& request) const
-{
-    const auto now = monotonic_time::clock::now();
-    const auto& peers = this->state.peers;
-    auto out = order_helpers(request.head.request_id, this->state.cluster);
-    std::erase_if(out, [&](const host_id& name) {
-        return name == this->state.settings.name || !peers.is_usable(name, now);
-    });
-    std::stable_partition(out.begin(), out.end(),
-                          [&](const host_id& name) { return peers.is_proven(name, now); });
-    out.resize(std::min(out.size(), max_forward_tries));
-    return out;
-}
-
-request_runner::choice request_runner::admit(const caller_request& request, target to)
-{
-    const bool reachable = this->can_reach(to);
-    if (!reachable && !this->is_reached_by_others(to.id)) {
-        return host_refusal{.kind = error_kind::no_owner, .retry_after = no_owner_retry_delay};
-    }
-    if (this->state.rate_limits.rate_of(to.id)) {
-        return this->admit_limited(request, std::move(to), reachable);
-    }
-    return reachable ? this->admit_load(std::move(to)) : this->pass_on(request, std::move(to));
-}
-
-/// Whether another host can probably connect to a server to which this host cannot.
-bool request_runner::is_reached_by_others(const backend_server_id& id) const
-{
-    const auto& path = this->state.path;
-    return path.is_lost() || path.connects_fail() ||
-           this->state.load_tracker.answered_lately(id, monotonic_time::clock::now());
-}
-
-/// The refusal if neither this host nor a peer can send.
-host_refusal request_runner::refuse_without_path() const
-{
-    const auto kind =
-        this->state.path.is_lost() ? error_kind::no_server_path : error_kind::no_owner;
-    return {.kind = kind, .retry_after = no_owner_retry_delay};
-}
-
-/// Lets another host send, since this one cannot connect to the server.
-request_runner::choice request_runner::pass_on(const caller_request& request, target to)
-{
-    if (!request.forwarded) {
-        to.peers = this->helpers(request);
-        to.hops_left = 1;
-        to.forwarded_for = this->state.path.is_lost()         ? "no_server_path"
-                           : this->state.path.connects_fail() ? "no_new_connections"
-                                                              : "server_unreachable";
-    }
-    if (to.peers.empty()) {
-        return this->refuse_without_path();
-    }
-    return to;
-}
-
-/// Lets one host send all requests to a server that limits its rate, so that the limit is kept
-/// without dividing it.
-request_runner::choice request_runner::admit_limited(const caller_request& request, target to,
-                                                     bool reachable)
-{
-    const auto now = monotonic_time::clock::now();
-    const auto& limits = this->state.rate_limits;
-    to.peers = this->preferred_senders(request, to, reachable);
-    to.forwarded_for = "rate_limit";
-    if (to.peers.empty() && !reachable) {
-        return this->refuse_without_path();
-    }
-    const auto delay =
-        to.peers.empty() ? limits.delay(to.id, now) : limits.held_off_for(to.id, now);
-    if (delay > milliseconds{0}) {
-        return host_refusal{.kind = error_kind::server_at_limit, .retry_after = delay};
-    }
-    return to.peers.empty() ? this->admit_load(std::move(to)) : to;
-}
-
-/// Refuses a request that the server cannot finish in time, that exceeds this host's share of
-/// connections, or that exceeds the rate limit of a cold server.
-request_runner::choice request_runner::admit_load(target to)
-{
-    const auto now = monotonic_time::clock::now();
-    const auto& load_tracker = this->state.load_tracker;
-    if (to.cold && this->service->cold_rate > 0.0) {
-        const auto next = next_cold_send(to.id, load_tracker.view(to.id), this->service->cold_rate,
-                                         this->state.settings.name, this->state.cluster.hosts());
-        if (!next || now < *next) {
-            return host_refusal{.kind = error_kind::server_cold,
-                                .retry_after = refused_retry_delay};
-        }
-    }
-    if (load_tracker.view(to.id).in_flight >= this->max_connections_per_server()) {
-        return host_refusal{.kind = error_kind::overloaded, .retry_after = refused_retry_delay};
-    }
-    const admission_input input{.wait = load_tracker.expected_wait(to.id, to.slots, now),
-                                .service_time = load_tracker.expected_service_time(to.id, now),
-                                .time_left = std::chrono::floor<milliseconds>(this->deadline - now),
-                                .queue_is_full = load_tracker.is_full(to.id, to.slots, now)};
-    if (const auto excess = excess_wait(input)) {
-        return host_refusal{.kind = error_kind::overloaded, .retry_after = *excess};
-    }
-    return to;
-}
-
 asio::awaitable<attempt_event> request_runner::send(const caller_request& request, target to)
 {
     auto& load_tracker = this->state.load_tracker;
