--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -47,6 +47,8 @@
     [[nodiscard]] const std::map<fault_kind, std::uint32_t>& injected_faults() const;
 
 private:
+    static constexpr milliseconds stop_timeout{7000}; ///< between SIGTERM and SIGKILL
+
     struct server_entry {
         std::unique_ptr<standin::backend_server> server;
         std::unique_ptr<fault_proxy> link;
