Answers of servers: read whether they leave and how long they want no request, and log both

No logic changes. Each answer of a leaving server and each one that turns a request away now has a send line with lifetime, the time since the send, leaving and rest_ms, so that word, belief and send can be set side by side for each request.

Retry-After counts with 503 and 429, in decimal seconds with fractions; of several fields the longest; others are kept for a log line. Tests: request_codec_test (two tables).

--- a/include/figreach/direct/runtime/request_runner.h
+++ b/include/figreach/direct/runtime/request_runner.h
@@ -120,8 +120,9 @@
     [[nodiscard]] milliseconds add_jitter(milliseconds time);
     void log_forward(const caller_request& request, const target& to, const host_id& peer,
                      std::string_view ending) const;
-    void log_send(const caller_request& request, const target& to, const char* ending,
-                  const std::string& detail) const;
+    void log_unreachable(const caller_request& request, const target& to) const;
+    void log_send(const caller_request& request, const target& to, const exchange_result& result,
+                  nanoseconds latency) const;
     void record_outcome(const caller_request& request, const request_outcome& outcome) const;
     void log_outcome(const caller_request& request, const request_outcome& outcome) const;
 
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -326,7 +326,7 @@
     if (!connection) {
         load_tracker.on_finished(to.id, send_outcome::unreachable, {}, std::nullopt, now);
         this->state.record_server_unreachable(to.id);
-        this->log_send(request, to, "unreachable", "");
+        this->log_unreachable(request, to);
         co_return not_sent{.kind = error_kind::server_unreachable};
     }
     const auto time_left = std::chrono::floor<milliseconds>(this->deadline - now);
@@ -347,11 +347,9 @@
                                    std::move(connection), message, request.head.request_id);
     this->state.path.on_finished();
     const auto latency = monotonic_time::clock::now() - now;
-    if (result.outcome != exchange_outcome::answered || is_server_error(result.answer)) {
-        const bool answered = result.outcome == exchange_outcome::answered ||
-                              result.outcome == exchange_outcome::not_run;
-        this->log_send(request, to, name_of(result.outcome),
-                       answered ? std::to_string(result.answer.result_int()) : result.detail);
+    if (result.outcome != exchange_outcome::answered || is_server_error(result.answer) ||
+        result.head.leaving) {
+        this->log_send(request, to, result, latency);
     }
     this->record_evidence(request, result, to, now);
     co_return this->handle_result(request, result, to, latency);
@@ -563,22 +561,42 @@
                {"ending", std::string{ending}}});
 }
 
-/// Logs an attempt that failed or returned a server error.
-void request_runner::log_send(const caller_request& request, const target& to, const char* ending,
-                              const std::string& detail) const
+/// Logs that no connection to the server could be made.
+void request_runner::log_unreachable(const caller_request& request, const target& to) const
+{
+    log_event(log_level::info, "send",
+              {{"id", request.head.request_id},
+               {"server", to.id.value},
+               {"lifetime", std::to_string(to.lifetime)},
+               {"address", to.address},
+               {"fence", std::to_string(to.fence)},
+               {"cold", to.cold ? "true" : "false"},
+               {"ending", "unreachable"}});
+}
+
+/// Logs an attempt that failed, returned a server error or was answered by a leaving server.
+void request_runner::log_send(const caller_request& request, const target& to,
+                              const exchange_result& result, nanoseconds latency) const
 {
     const auto now = monotonic_time::clock::now();
+    const bool answered =
+        result.outcome == exchange_outcome::answered || result.outcome == exchange_outcome::not_run;
     const auto& view = this->state.load_tracker.view(to.id);
     const auto age = view.report ? now - view.reported_at : monotonic_time::duration{};
+    const auto sent_ago = std::chrono::duration_cast<milliseconds>(latency);
     log_event(
         log_level::info, "send",
         {{"id", request.head.request_id},
          {"server", to.id.value},
+         {"lifetime", std::to_string(to.lifetime)},
          {"address", to.address},
          {"fence", std::to_string(to.fence)},
          {"cold", to.cold ? "true" : "false"},
-         {"ending", ending},
-         {"detail", detail},
+         {"ending", name_of(result.outcome)},
+         {"detail", answered ? std::to_string(result.answer.result_int()) : result.detail},
+         {"sent_ms_ago", std::to_string(sent_ago.count())},
+         {"leaving", result.head.leaving ? "true" : "false"},
+         {"rest_ms", result.head.rest ? std::to_string(result.head.rest->count()) : ""},
          {"running", view.report ? std::to_string(view.report->running) : ""},
          {"waiting", view.report ? std::to_string(view.report->waiting) : ""},
          {"report_age_ms", std::to_string(std::chrono::duration_cast<milliseconds>(age).count())}});
--- a/test/platform/request_codec_test.cpp
+++ b/test/platform/request_codec_test.cpp
@@ -61,6 +61,44 @@
     {"99999999999999999999999999999999999999", -1.0, "\"99999999999999999999999999999999\""},
 };
 
+struct rest_row {
+    unsigned status;
+    std::vector<const char*> fields;
+    std::int64_t rest_ms; ///< negative if there is none
+    const char* invalid;
+};
+
+const rest_row rest_rows[] = {
+    {503, {"2"}, 2000, ""},
+    {429, {"2"}, 2000, ""},
+    {503, {" 0.25 "}, 250, ""},
+    {503, {"0"}, 0, ""},
+    {503, {}, -1, ""},
+    {200, {"2"}, -1, ""},
+    {421, {"2"}, -1, ""},
+    {503, {"1", "3.5", "2"}, 3500, ""},
+    {503, {"soon", "1"}, 1000, "\"soon\""},
+    {503, {"-1"}, -1, "\"-1\""},
+    {503, {""}, -1, "\"\""},
+    {503, {"nan"}, -1, "\"nan\""},
+    {503, {"inf"}, -1, "\"inf\""},
+    {503, {"2 s"}, -1, "\"2 s\""},
+    {503, {"1e3"}, -1, "\"1e3\""},
+    {503, {"Fri, 31 Dec 1999 23:59:59 GMT"}, -1, "\"Fri, 31 Dec 1999 23:59:59 GMT\""},
+    {503, {"99999999999999999999"}, 1'000'000'000, ""},
+};
+
+struct leaving_row {
+    unsigned status;
+    std::vector<const char*> fields;
+    bool leaving;
+};
+
+const leaving_row leaving_rows[] = {
+    {200, {"1"}, true},  {503, {" 1 "}, true}, {421, {"1"}, true},   {500, {"0", "1"}, true},
+    {103, {"1"}, true},  {200, {}, false},     {200, {"0"}, false},  {200, {""}, false},
+    {200, {"2"}, false}, {200, {"11"}, false}, {200, {"yes"}, false}};
+
 struct answer_row {
     const char* name;
     unsigned status;
@@ -148,6 +186,32 @@
     }
 }
 
+TEST(request_codec_test, reads_how_long_a_server_wants_no_request)
+{
+    for (const auto& row : rest_rows) {
+        http::fields fields;
+        for (const auto* text : row.fields) {
+            fields.insert(http::field::retry_after, text);
+        }
+        const auto head = decode_answer_head(row.status, fields);
+        const auto* name = row.fields.empty() ? "none" : row.fields.front();
+        CHECK_EQUAL_TEXT(row.rest_ms, head.rest ? head.rest->count() : -1, name);
+        STRCMP_EQUAL_TEXT(row.invalid, head.invalid_rest.c_str(), name);
+    }
+}
+
+TEST(request_codec_test, reads_whether_a_server_is_leaving)
+{
+    for (const auto& row : leaving_rows) {
+        http::fields fields;
+        for (const auto* text : row.fields) {
+            fields.insert("Server-Leaving", text);
+        }
+        const auto* name = row.fields.empty() ? "none" : row.fields.front();
+        CHECK_EQUAL_TEXT(row.leaving, decode_answer_head(row.status, fields).leaving, name);
+    }
+}
+
 TEST(request_codec_test, tells_what_did_not_run)
 {
     for (const auto& row : answer_rows) {
