--- a/test/direct/path_fixture.h
+++ b/test/direct/path_fixture.h
@@ -102,6 +102,7 @@
 struct fixture_host {
     host_id name{"h1"};
     std::string peer_address = "127.0.0.1:0";
+    milliseconds leaving_limit{2000};
 };
 
 /// Three hosts that can reach each other.
@@ -248,6 +249,7 @@
         direct_settings out;
         out.name = own.name;
         out.peer_address = own.peer_address;
+        out.leaving_limit = own.leaving_limit;
         out.store_address = "127.0.0.1:1";
         return out;
     }
