A server that says in an answer that it leaves gets no request after the limit

What callers saw: requests still reached servers that had said they leave, while the store did not show it.

A store that is away, or that came back from a copy, hides it for as long as that lasts.

Change: an answer's word sets the same record that the store's word sets, which all readers ask: selection, placement of keys, evidence of crashes. No entry of the same lifetime takes it back; a new lifetime does. Any answer counts, also an interim one, one to another request, one that is not passed on, a forwarded one, and those to grants and releases. Hosts tell the leader with their polls, the leader tells all hosts, until the store shows it; so keys move although one host alone heard it.

--- a/include/figreach/direct/cluster_state.h
+++ b/include/figreach/direct/cluster_state.h
@@ -99,6 +99,9 @@
     /// part.
     [[nodiscard]] std::vector<state_change>
     apply(store_part part, const std::vector<item_update>& updates, bool whole, monotonic_time now);
+    /// Records what a server has said in an answer to this host or another one. Returns whether it
+    /// was not known.
+    bool record_leaving(const leaving_report& report, monotonic_time now);
     /// Handles the return of the store after an outage of length `away`.
     void on_store_reconnected(milliseconds away, monotonic_time now);
     /// Handles the return of the store from an older copy. What servers and operators wrote since
--- a/include/figreach/direct/follow.h
+++ b/include/figreach/direct/follow.h
@@ -36,6 +36,7 @@
     std::vector<service_time_sample> service_times;
     std::vector<server_load> server_loads;
     std::vector<rate_limit_report> rate_limits;
+    std::vector<leaving_report> leaving = {};
     std::vector<crash_report> crashes; ///< seen by this host and not told yet
     store_era era{};                   ///< the latest that the host knows
     bool wants_listing = false;    ///< of the parts that it knows in an earlier era than the leader
@@ -51,6 +52,7 @@
     std::vector<part_changes> parts;
     std::vector<server_load> server_loads;      ///< news from all hosts since the request's cursor
     std::vector<rate_limit_report> rate_limits; ///< the latest known to any host
+    std::vector<leaving_report> leaving = {};   ///< heard by any host
     std::vector<crash_report> crashes;          ///< known to any host
     store_era era{};                            ///< the latest that the leader knows
     std::uint64_t load_cursor = 0;              ///< `server_loads` holds all news up to here
--- a/include/figreach/direct/runtime/exchange.h
+++ b/include/figreach/direct/runtime/exchange.h
@@ -25,8 +25,9 @@
 
 struct exchange_result {
     exchange_outcome outcome = exchange_outcome::lost;
-    http_response answer;          ///< set when answered or not_run
-    platform::answer_head head;    ///< parsed from `answer`
+    http_response answer; ///< set when answered or not_run
+    /// Parsed from `answer`. `leaving` is set if any response said so, also one that is not used.
+    platform::answer_head head;
     std::string detail;            ///< reason when lost; otherwise empty
     bool closed_by_server = false; ///< lost because the server's side ended the connection
 };
--- a/include/figreach/direct/runtime/host_context.h
+++ b/include/figreach/direct/runtime/host_context.h
@@ -51,6 +51,11 @@
     /// changes, and the first of several fields that cannot be read.
     void record_rate_limit(const backend_server_id& server, const platform::answer_head& head,
                            monotonic_time now);
+    /// Records that a backend server has said in an answer that it is leaving, and logs it once.
+    /// `source` is the host that got the answer, or says which own answer it was.
+    void record_leaving(const leaving_report& report, const std::string& source);
+    /// As above, for an answer of the known lifetime of the server.
+    void record_leaving(const backend_server_id& server, const std::string& source);
     /// Merges what another host reports about the rates that backend servers accept.
     void merge_rate_limits(const std::vector<rate_limit_report>& reports, const host_id& from);
     /// Merges what another host reports about requests that crash backend servers.
@@ -105,8 +110,9 @@
     /// stopped leading.
     std::uint32_t pending_grants = 0;
     std::uint32_t in_flight = 0;
-    std::uint64_t answer_bytes = 0;   ///< total size of response bodies that are being read
-    std::uint64_t buffered_bytes = 0; ///< total size of buffered request bodies
+    std::uint64_t leaving_answers = 0; ///< lifetimes of servers that said in an answer they leave
+    std::uint64_t answer_bytes = 0;    ///< total size of response bodies that are being read
+    std::uint64_t buffered_bytes = 0;  ///< total size of buffered request bodies
 };
 
 } // namespace figreach::direct
--- a/include/figreach/direct/runtime/request_runner.h
+++ b/include/figreach/direct/runtime/request_runner.h
@@ -98,6 +98,8 @@
     [[nodiscard]] choice select_target(const caller_request& request);
     [[nodiscard]] choice select_owner(const caller_request& request);
     [[nodiscard]] choice select_any_server(const caller_request& request);
+    [[nodiscard]] bool accepts_requests(const server_record& record, monotonic_time now) const;
+    [[nodiscard]] bool accepts_requests(const target& to, monotonic_time now) const;
     [[nodiscard]] choice admit(const caller_request& request, target to);
     [[nodiscard]] choice admit_limited(const caller_request& request, target to, bool reachable);
     [[nodiscard]] choice pass_on(const caller_request& request, target to);
--- a/include/figreach/direct/server_directory.h
+++ b/include/figreach/direct/server_directory.h
@@ -29,6 +29,8 @@
     server_entry entry;
     monotonic_time cold_until{};                 ///< the server is warm if this is in the past
     std::optional<monotonic_time> leaving_since; ///< it announced leaving or its entry ended
+    bool said_leaving = false; ///< in an answer; no entry of the same lifetime takes that back
+    std::optional<monotonic_time> ended_at;      ///< its entry ended
     std::optional<monotonic_time> missing_since; ///< its entry may have lapsed and come back
     bool address_reused = false; ///< it has ended, since a later server has its address
 };
@@ -45,6 +47,11 @@
     explicit server_directory(directory_settings settings);
 
     directory_change apply(const server_entry& entry, monotonic_time now);
+    /// Records what a server has said in an answer. Returns whether it was not known; it is ignored
+    /// unless it concerns the known lifetime.
+    bool record_leaving(const leaving_report& report, monotonic_time now);
+    /// Servers that have said so in an answer and whose entries do not show it yet.
+    [[nodiscard]] std::vector<leaving_report> leaving_reports(monotonic_time now) const;
     /// Removes the entries that ended in one batch of changes.
     void remove(const std::vector<backend_server_id>& ended, monotonic_time now);
     /// Handles the return of the store after an outage of length `away`, after which missing
--- a/include/figreach/direct/server_entry.h
+++ b/include/figreach/direct/server_entry.h
@@ -41,6 +41,15 @@
     friend bool operator==(const rate_limit_report&, const rate_limit_report&) = default;
 };
 
+/// A backend server has said in an answer that it is leaving.
+struct leaving_report {
+    backend_server_id server;
+    std::uint64_t lifetime = 0;
+    milliseconds age{0}; ///< of the first such answer
+
+    friend bool operator==(const leaving_report&, const leaving_report&) = default;
+};
+
 /// The queue with which a backend server last turned a request away.
 struct full_queue {
     std::uint32_t waiting = 0;
--- a/src/direct/cluster_state.cpp
+++ b/src/direct/cluster_state.cpp
@@ -107,6 +107,11 @@
     return out;
 }
 
+bool cluster_state::record_leaving(const leaving_report& report, monotonic_time now)
+{
+    return this->directory.record_leaving(report, now);
+}
+
 void cluster_state::on_store_reconnected(milliseconds away, monotonic_time now)
 {
     this->directory.on_store_reconnected(away, now);
--- a/src/direct/follow.cpp
+++ b/src/direct/follow.cpp
@@ -95,6 +95,25 @@
     return out;
 }
 
+void fill(wire::LeavingServer& out, const leaving_report& report)
+{
+    out.set_server(report.server.value);
+    out.set_lifetime(report.lifetime);
+    out.set_age_ms(static_cast<std::uint32_t>(report.age.count()));
+}
+
+std::vector<leaving_report>
+to_leaving(const google::protobuf::RepeatedPtrField<wire::LeavingServer>& in)
+{
+    std::vector<leaving_report> out;
+    for (const auto& one : in) {
+        out.push_back({.server = {one.server()},
+                       .lifetime = one.lifetime(),
+                       .age = milliseconds{one.age_ms()}});
+    }
+    return out;
+}
+
 void fill(wire::CrashReport& out, const crash_report& report)
 {
     out.set_digest_high(report.digest.high);
@@ -184,6 +203,9 @@
     for (const auto& one : request.rate_limits) {
         fill(*out.add_rate_limits(), one);
     }
+    for (const auto& one : request.leaving) {
+        fill(*out.add_leaving(), one);
+    }
     for (const auto& one : request.crashes) {
         fill(*out.add_crashes(), one);
     }
@@ -216,6 +238,9 @@
     for (const auto& one : answer.rate_limits) {
         fill(*out.add_rate_limits(), one);
     }
+    for (const auto& one : answer.leaving) {
+        fill(*out.add_leaving(), one);
+    }
     for (const auto& one : answer.crashes) {
         fill(*out.add_crashes(), one);
     }
@@ -294,6 +319,7 @@
                        .service_times = {},
                        .server_loads = to_loads(in->server_loads()),
                        .rate_limits = to_rate_limits(in->rate_limits()),
+                       .leaving = to_leaving(in->leaving()),
                        .crashes = to_crashes(in->crashes()),
                        .era = store_era{in->era()},
                        .wants_listing = in->wants_listing(),
@@ -329,6 +355,7 @@
     follow_answer out{.parts = {},
                       .server_loads = to_loads(in->server_loads()),
                       .rate_limits = to_rate_limits(in->rate_limits()),
+                      .leaving = to_leaving(in->leaving()),
                       .crashes = to_crashes(in->crashes()),
                       .era = store_era{in->era()},
                       .load_cursor = in->load_cursor()};
--- a/src/direct/runtime/direct_host.cpp
+++ b/src/direct/runtime/direct_host.cpp
@@ -205,6 +205,8 @@
         [this] { return std::uint64_t{this->state.in_flight}; });
     add("servers_with_rate_limit", "Backend servers that name a limit of requests per second.",
         metric_type::gauge, [this] { return std::uint64_t{this->state.rate_limits.count()}; });
+    add("servers_said_leaving_total", "Backend servers that said in an answer that they leave.",
+        metric_type::counter, [this] { return this->state.leaving_answers; });
     add("crash_suspects", "Requests that are sent alone since servers ended while running them.",
         metric_type::gauge,
         [this] { return std::uint64_t{this->state.suspects.count_at(crash_level::suspected)}; });
--- a/src/direct/runtime/exchange.cpp
+++ b/src/direct/runtime/exchange.cpp
@@ -130,6 +130,9 @@
     const auto progress = std::make_shared<write_progress>();
     asio::co_spawn(upstream.stream.get_executor(), write_request(connection, request, progress),
                    asio::detached);
+    // Any answer counts for this, whatever request it belongs to: the connection leads to one
+    // process.
+    bool leaving = false;
     for (int stray = 0; stray <= max_stray_answers; ++stray) {
         http::response_parser<http::string_body> parser;
         parser.header_limit(max_header_bytes);
@@ -138,14 +141,17 @@
         const auto failed = co_await read_response(upstream, parser, buffered_bytes);
         if (failed) {
             auto result = result_for_error(upstream, failed, deadline);
+            result.head.leaving = leaving;
             reset(upstream);
             co_return result;
         }
         auto answer = parser.release();
+        auto head = platform::decode_answer_head(answer.result_int(), answer);
+        leaving = leaving || head.leaving;
+        head.leaving = leaving;
         if (is_interim(answer.result_int())) {
             continue;
         }
-        auto head = platform::decode_answer_head(answer.result_int(), answer);
         const bool lacks_id = head.request_id.empty() && !upstream.reused && stray == 0;
         if (head.request_id != request_id && !lacks_id) {
             continue;
@@ -163,14 +169,18 @@
         auto reason = rejection_reason(answer, head);
         if (!reason.empty()) {
             reset(upstream);
-            co_return lost(std::move(reason));
+            auto result = lost(std::move(reason));
+            result.head.leaving = leaving;
+            co_return result;
         }
         co_return exchange_result{.outcome = exchange_outcome::answered,
                                   .answer = std::move(answer),
                                   .head = std::move(head)};
     }
     reset(upstream);
-    co_return lost("answers to other requests only");
+    auto result = lost("answers to other requests only");
+    result.head.leaving = leaving;
+    co_return result;
 }
 
 http_request make_upstream_message(const http_request& message)
--- a/src/direct/runtime/host_context.cpp
+++ b/src/direct/runtime/host_context.cpp
@@ -182,6 +182,28 @@
     }
 }
 
+void host_context::record_leaving(const leaving_report& report, const std::string& source)
+{
+    if (!this->cluster.record_leaving(report, monotonic_time::clock::now())) {
+        return;
+    }
+    ++this->leaving_answers;
+    log_event(log_level::info, "server_said_leaving",
+              {{"server", report.server.value},
+               {"lifetime", std::to_string(report.lifetime)},
+               {"source", source},
+               {"age_ms", std::to_string(report.age.count())},
+               {"limit_ms", std::to_string(this->settings.leaving_limit.count())}});
+    this->cluster_changed.notify();
+}
+
+void host_context::record_leaving(const backend_server_id& server, const std::string& source)
+{
+    if (const auto* record = this->cluster.servers().find(server)) {
+        this->record_leaving({.server = server, .lifetime = record->entry.lifetime}, source);
+    }
+}
+
 void host_context::merge_rate_limits(const std::vector<rate_limit_report>& reports,
                                      const host_id& from)
 {
--- a/src/direct/runtime/leadership_keys.cpp
+++ b/src/direct/runtime/leadership_keys.cpp
@@ -198,6 +198,8 @@
     this->state.path.on_sent();
     this->state.pending_grants += is_grant ? 1 : 0;
     const bool is_release = std::holds_alternative<release_keys>(action.order);
+    const auto* known = this->state.cluster.servers().find(action.server);
+    const auto lifetime = known != nullptr ? known->entry.lifetime : 0;
     // Orders carry no id. A late copy of an earlier answer must not pass for that of a release.
     const auto result = co_await this->order_client.call(
         action.address, platform::encode_order(action.order, action.server), deadline,
@@ -205,8 +207,11 @@
     --own->pending_calls;
     this->state.path.on_finished();
     this->state.pending_grants -= is_grant ? 1 : 0;
-    if (std::holds_alternative<http_response>(result)) {
+    if (const auto* received = std::get_if<http_response>(&result)) {
         this->state.record_server_answer();
+        if (platform::decode_answer_head(received->result_int(), *received).leaving) {
+            this->state.record_leaving({.server = action.server, .lifetime = lifetime}, "order");
+        }
     }
     else if (std::get<call_failure>(result) == call_failure::not_sent) {
         this->state.record_server_unreachable(action.server);
--- a/src/direct/runtime/peer_server.cpp
+++ b/src/direct/runtime/peer_server.cpp
@@ -160,6 +160,9 @@
     }
     this->state.merge_rate_limits(follow->rate_limits, follow->host);
     this->state.merge_crash_reports(follow->crashes);
+    for (const auto& one : follow->leaving) {
+        this->state.record_leaving(one, follow->host.value);
+    }
     auto update = co_await this->feed.answer(*follow);
     out.result(update ? http::status::ok : http::status::service_unavailable);
     if (update) {
@@ -169,6 +172,7 @@
         update->rate_limits = this->state.rate_limits.reports(now);
         update->era = this->state.store.era();
         update->crashes = this->state.suspects.reports(now);
+        update->leaving = this->state.cluster.servers().leaving_reports(now);
         out.body() = encode(*update);
     }
     co_return out;
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -296,8 +296,8 @@
     }
     else if (result.outcome == exchange_outcome::lost && result.closed_by_server) {
         const auto* record = this->state.cluster.servers().find(to.id);
-        const bool planned =
-            record != nullptr && record->entry.lifetime == to.lifetime && record->entry.leaving;
+        const bool planned = record != nullptr && record->entry.lifetime == to.lifetime &&
+                             (record->entry.leaving || record->said_leaving);
         if (!planned) {
             suspects.on_lost({.digest = *request.digest,
                               .server = server,
@@ -334,6 +334,11 @@
         load_tracker.on_finished(to.id, send_outcome::cancelled, {}, std::nullopt, now);
         co_return this->cancelled ? attempt_event{caller_left{}} : attempt_event{deadline_passed{}};
     }
+    if (!this->accepts_requests(to, now)) {
+        load_tracker.on_finished(to.id, send_outcome::cancelled, {}, std::nullopt, now);
+        this->state.server_connections.give_back(to.address, std::move(connection));
+        co_return route_resolved{route_location::none};
+    }
     const auto message = std::make_shared<http_request>(make_upstream_message(request.message));
     platform::encode_server_head(*message, to.id, time_left);
     if (!std::holds_alternative<no_action>(this->attempts->handle(sending{}, now))) {
@@ -351,6 +356,9 @@
         result.head.leaving) {
         this->log_send(request, to, result, latency);
     }
+    if (result.head.leaving) {
+        this->state.record_leaving({.server = to.id, .lifetime = to.lifetime}, "answer");
+    }
     this->record_evidence(request, result, to, now);
     co_return this->handle_result(request, result, to, latency);
 }
@@ -467,6 +475,9 @@
     case exchange_outcome::answered:
         if (!head.server.empty()) {
             this->state.record_rate_limit(head.server, result.head, now);
+            if (result.head.leaving) {
+                this->state.record_leaving(head.server, "forwarded answer");
+            }
             this->tried_servers.insert(head.server);
         }
         return this->accept_answer(std::move(result.answer));
--- a/src/direct/runtime/request_selection.cpp
+++ b/src/direct/runtime/request_selection.cpp
@@ -57,13 +57,9 @@
     }
     const auto& range = range_of(*table, *request.head.key);
     const auto* record = this->state.cluster.servers().find(range.owner);
-    if (record == nullptr || range.moving || record->entry.lifetime != range.owner_lifetime ||
-        this->state.cluster.is_out(record->entry.failure_domain)) {
-        return wait_for_change{};
-    }
     const auto now = monotonic_time::clock::now();
-    const auto leaving_limit = this->state.settings.leaving_limit * leaving_percent / whole_percent;
-    if (record->leaving_since && now >= *record->leaving_since + leaving_limit) {
+    if (record == nullptr || range.moving || record->entry.lifetime != range.owner_lifetime ||
+        !this->accepts_requests(*record, now)) {
         return wait_for_change{};
     }
     if (this->state.refused.must_wait(this->service->name, *request.head.key, range.fence, now)) {
@@ -79,6 +75,26 @@
     return admitted;
 }
 
+/// Whether requests may be sent to the server now: it is not leaving, nor is its failure domain out
+/// of service. A leaving owner serves its keys for a while.
+bool request_runner::accepts_requests(const server_record& record, monotonic_time now) const
+{
+    if (!this->service->divided_by_key) {
+        return this->state.cluster.takes_new_work(record);
+    }
+    const auto leaving_limit = this->state.settings.leaving_limit * leaving_percent / whole_percent;
+    const bool left = record.leaving_since && now >= *record.leaving_since + leaving_limit;
+    return !left && !this->state.cluster.is_out(record.entry.failure_domain);
+}
+
+/// As above, for a server that was selected some time ago.
+bool request_runner::accepts_requests(const target& to, monotonic_time now) const
+{
+    const auto* record = this->state.cluster.servers().find(to.id);
+    return record != nullptr && record->entry.lifetime == to.lifetime &&
+           this->accepts_requests(*record, now);
+}
+
 /// Picks the cheaper of two random servers that accept new work (power of two choices). If this
 /// host can connect to none of them, a peer picks one.
 request_runner::choice request_runner::select_any_server(const caller_request& request)
--- a/src/direct/runtime/store_feed.cpp
+++ b/src/direct/runtime/store_feed.cpp
@@ -619,6 +619,7 @@
     request.service_times = this->state.load_tracker.take_service_times();
     request.server_loads = this->state.load_tracker.take_own_reports(now);
     request.rate_limits = this->state.rate_limits.take_own_reports(now);
+    request.leaving = this->state.cluster.servers().leaving_reports(now);
     request.crashes = this->state.suspects.take_own_reports(now);
     request.load_cursor = known_leader ? this->load_cursor : 0;
     auto answer = co_await this->poll(leader, std::move(request));
@@ -635,8 +636,12 @@
     }
     this->state.merge_rate_limits(answer->rate_limits, leader.host);
     this->state.merge_crash_reports(answer->crashes);
+    const auto leaving = std::exchange(answer->leaving, {});
     this->load_cursor = answer->load_cursor;
     this->apply_answer(std::move(*answer));
+    for (const auto& one : leaving) {
+        this->state.record_leaving(one, leader.host.value);
+    }
     this->told = leader;
     this->followed = std::move(leader);
     co_return true;
--- a/src/direct/server_directory.cpp
+++ b/src/direct/server_directory.cpp
@@ -1,6 +1,7 @@
 #include "figreach/direct/server_directory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace figreach::direct {
 
@@ -38,7 +39,8 @@
     if (entry.cold_for == milliseconds{0}) {
         record.cold_until = now;
     }
-    if (!entry.leaving) {
+    record.ended_at.reset();
+    if (!entry.leaving && !record.said_leaving) {
         record.leaving_since.reset();
     }
     else if (!record.leaving_since) {
@@ -57,9 +59,35 @@
     return leaves ? directory_change::leaving : directory_change::updated;
 }
 
+bool server_directory::record_leaving(const leaving_report& report, monotonic_time now)
+{
+    const auto found = this->known.find(report.server);
+    if (found == this->known.end() || found->second.entry.lifetime != report.lifetime) {
+        return false;
+    }
+    auto& record = found->second;
+    const auto said_at = now - report.age;
+    const bool is_news = !std::exchange(record.said_leaving, true);
+    record.leaving_since = std::min(record.leaving_since.value_or(said_at), said_at);
+    return is_news;
+}
+
+std::vector<leaving_report> server_directory::leaving_reports(monotonic_time now) const
+{
+    std::vector<leaving_report> out;
+    for (const auto& [id, record] : this->known) {
+        if (record.said_leaving && !record.entry.leaving && !record.ended_at) {
+            const auto age = std::chrono::floor<milliseconds>(now - *record.leaving_since);
+            out.push_back({.server = id, .lifetime = record.entry.lifetime, .age = age});
+        }
+    }
+    return out;
+}
+
 void server_directory::end(server_record& record, monotonic_time now)
 {
     record.missing_since.reset();
+    record.ended_at = record.ended_at.value_or(now);
     if (!record.leaving_since) {
         record.leaving_since = now;
     }
@@ -86,8 +114,15 @@
     }
     for (const auto& id : ended) {
         const auto found = this->known.find(id);
-        if (found != this->known.end() && !found->second.leaving_since) {
-            lost.push_back(&found->second);
+        if (found == this->known.end()) {
+            continue;
+        }
+        auto& record = found->second;
+        if (!record.leaving_since) {
+            lost.push_back(&record);
+        }
+        else if (record.said_leaving) {
+            this->end(record, now);
         }
     }
     constexpr std::size_t whole = 100;
@@ -126,8 +161,8 @@
         }
     }
     std::erase_if(this->known, [this, now](const auto& item) {
-        const auto& since = item.second.leaving_since;
-        return since && !item.second.entry.leaving && now >= *since + this->settings.forget_after;
+        const auto& ended_at = item.second.ended_at;
+        return ended_at && now >= *ended_at + this->settings.forget_after;
     });
 }
 
--- a/test/direct/follow_test.cpp
+++ b/test/direct/follow_test.cpp
@@ -256,6 +256,17 @@
     CHECK_TRUE(decode_follow_answer(encode(answer))->rate_limits == valid);
 }
 
+TEST(follow_test, reads_which_servers_leave_that_it_wrote)
+{
+    const std::vector<leaving_report> leaving{
+        {.server = {"a"}, .lifetime = 1'700'000'000'123, .age = milliseconds{300}},
+        {.server = {"b"}, .lifetime = 0, .age = milliseconds{0}}};
+    const follow_request request{.host = {"h"}, .leaving = leaving};
+    CHECK_TRUE(decode_follow_request(encode(request))->leaving == leaving);
+    const follow_answer answer{.leaving = leaving};
+    CHECK_TRUE(decode_follow_answer(encode(answer))->leaving == leaving);
+}
+
 TEST(follow_test, reads_hints_and_offers_that_it_wrote)
 {
     const leader_hint hint{.term = 4, .host = {"h"}, .peer_address = "127.0.0.1:1"};
