The last entry of a server that has left is no return, and records of servers that left end

Cause: an entry of the same lifetime took the end back unless its report was older than the known one. Change: it needs a report that was not seen before. A server that lives reports again within its interval.

Besides: the record of a server that had announced its leaving was never dropped after its entry ended (one record a server for the life of the process), and one that only an answer marked would have been dropped while it still reported. Both go by the end of the entry now.

Evidence: server_directory_test (an_entry_that_was_seen_before_is_no_return; forgets_servers_that_leave_only_after_their_entries_end), written with the change and not run on the code before.

--- a/src/direct/server_directory.cpp
+++ b/src/direct/server_directory.cpp
@@ -29,6 +29,10 @@
     const bool restarted = !is_new && entry.lifetime != record.entry.lifetime;
     const bool was_leaving = record.leaving_since.has_value();
     const bool same_lifetime = !is_new && !restarted;
+    if (same_lifetime && was_leaving && !entry.leaving && entry.report == record.entry.report) {
+        // A store that came back from a copy shows the last entry of a server that has left again.
+        return directory_change::stale;
+    }
     if (!same_lifetime) {
         record = {};
     }
@@ -121,7 +125,7 @@
         if (!record.leaving_since) {
             lost.push_back(&record);
         }
-        else if (record.said_leaving) {
+        else {
             this->end(record, now);
         }
     }
--- a/test/direct/server_directory_test.cpp
+++ b/test/direct/server_directory_test.cpp
@@ -56,6 +56,40 @@
      false},
 };
 
+struct said_row {
+    const char* name;
+    leaving_report said;
+    server_entry then; ///< an entry that comes later
+    bool is_news;
+    bool leaves;
+};
+
+/// After an answer of server "a", whose entry in the directory is of lifetime 5, report 3.
+const said_row said_rows[] = {
+    {"next report", {{"a"}, 5}, entry("a", 5, 4), true, true},
+    {"report once more", {{"a"}, 5}, entry("a", 5, 3), true, true},
+    {"older report", {{"a"}, 5}, entry("a", 5, 2), true, true},
+    {"older life", {{"a"}, 5}, entry("a", 4, 9), true, true},
+    {"new life", {{"a"}, 5}, entry("a", 6, 1), true, false},
+    {"another server", {{"a"}, 5}, entry("b", 5, 1), true, true},
+    {"word of an earlier life", {{"a"}, 4}, entry("a", 5, 4), false, false},
+    {"word of a later life", {{"a"}, 6}, entry("a", 5, 4), false, false},
+    {"word of an unknown server", {{"c"}, 5}, entry("a", 5, 4), false, false},
+};
+
+struct return_row {
+    const char* name;
+    std::uint64_t report; ///< of the entry that is there again
+    bool in_use;
+};
+
+/// After the entry of a server, report 3, has ended.
+const return_row return_rows[] = {
+    {"the store went back", 3, false},
+    {"the store went further back", 2, false},
+    {"the server reports again", 4, true},
+};
+
 struct loss_row {
     const char* name;
     int present;
@@ -91,6 +125,74 @@
     }
 }
 
+/// Guards against a store that is away or went back, whose entries undo what a server has said.
+TEST(server_directory_test, keeps_what_a_server_has_said_for_its_lifetime)
+{
+    for (const auto& row : said_rows) {
+        server_directory directory{{}};
+        directory.apply(entry("a", 5, 3), start);
+        CHECK_EQUAL_TEXT(row.is_news, directory.record_leaving(row.said, start), row.name);
+        CHECK_FALSE_TEXT(directory.record_leaving(row.said, start), row.name);
+        directory.apply(row.then, start + seconds{1});
+        const auto* known = directory.find({"a"});
+        CHECK_EQUAL_TEXT(row.leaves, known->leaving_since.has_value(), row.name);
+        CHECK_EQUAL_TEXT(row.leaves ? 1 : 0, directory.leaving_reports(start).size(), row.name);
+    }
+}
+
+/// Guards against using a server again that has left, because the store shows its last entry again.
+TEST(server_directory_test, an_entry_that_was_seen_before_is_no_return)
+{
+    for (const auto& row : return_rows) {
+        server_directory directory{{}};
+        directory.apply(entry("a", 5, 3), start);
+        directory.remove({{"a"}}, start);
+        CHECK_TRUE_TEXT(directory.find({"a"})->leaving_since.has_value(), row.name);
+        directory.apply(entry("a", 5, row.report), start + seconds{1});
+        CHECK_EQUAL_TEXT(row.in_use, !directory.find({"a"})->leaving_since.has_value(), row.name);
+    }
+}
+
+TEST(server_directory_test, counts_the_time_from_the_first_word)
+{
+    server_directory directory{{}};
+    directory.apply(entry("a", 5, 3), start);
+    directory.record_leaving({.server = {"a"}, .lifetime = 5, .age = milliseconds{300}}, start);
+    CHECK_TRUE(directory.find({"a"})->leaving_since == start - milliseconds{300});
+    directory.record_leaving({.server = {"a"}, .lifetime = 5, .age = {}}, start + seconds{1});
+    CHECK_TRUE(directory.find({"a"})->leaving_since == start - milliseconds{300});
+    const auto reports = directory.leaving_reports(start + milliseconds{700});
+    CHECK_EQUAL(1000, reports.front().age.count());
+    directory.apply(leaving(entry("a", 5, 4)), start + seconds{1});
+    CHECK_TRUE(directory.leaving_reports(start + seconds{1}).empty());
+    CHECK_TRUE(directory.find({"a"})->leaving_since == start - milliseconds{300});
+}
+
+/// Guards against forgetting that a server leaves while it still reports, and against keeping the
+/// records of servers that are gone.
+TEST(server_directory_test, forgets_servers_that_leave_only_after_their_entries_end)
+{
+    for (const bool announced : {false, true}) {
+        const directory_settings settings;
+        server_directory directory{settings};
+        directory.apply(entry("a", 5, 3), start);
+        if (announced) {
+            directory.apply(leaving(entry("a", 5, 4)), start);
+        }
+        else {
+            directory.record_leaving({.server = {"a"}, .lifetime = 5}, start);
+        }
+        const auto later = start + 2 * settings.forget_after;
+        directory.on_tick(later);
+        CHECK_TRUE(directory.find({"a"})->leaving_since.has_value());
+        directory.remove({{"a"}}, later);
+        directory.on_tick(later);
+        CHECK_TRUE(directory.find({"a"}) != nullptr);
+        directory.on_tick(later + settings.forget_after);
+        CHECK_TRUE(directory.find({"a"}) == nullptr);
+    }
+}
+
 TEST(server_directory_test, waits_for_entries_that_may_have_lapsed)
 {
     for (const auto& row : loss_rows) {
