A server that asked this host for a rest gets no request until it is over

What callers saw: repeats piled up at a server that had asked a host for some seconds of rest; each caller was told to come back after 250 ms and sent there again.

--- a/include/figreach/direct/runtime/host_context.h
+++ b/include/figreach/direct/runtime/host_context.h
@@ -18,6 +18,7 @@
 #include "figreach/direct/server_load_tracker.h"
 #include "figreach/direct/server_path.h"
 #include "figreach/direct/server_rate_limits.h"
+#include "figreach/direct/server_rests.h"
 #include "figreach/direct/store_revision.h"
 #include "figreach/retry_budget.h"
 #include "figreach/runtime/connection_pool.h"
@@ -56,6 +57,10 @@
     void record_leaving(const leaving_report& report, const std::string& source);
     /// As above, for an answer of the known lifetime of the server.
     void record_leaving(const backend_server_id& server, const std::string& source);
+    /// Records for how long a backend server that turned a request of this host away wants none.
+    /// Logs each rest that is longer than what is known, and fields that cannot be read.
+    void record_rest(const server_lifetime& server, const platform::answer_head& head,
+                     monotonic_time now);
     /// Merges what another host reports about the rates that backend servers accept.
     void merge_rate_limits(const std::vector<rate_limit_report>& reports, const host_id& from);
     /// Merges what another host reports about requests that crash backend servers.
@@ -86,9 +91,11 @@
     server_load_tracker load_tracker;
     server_path path;
     server_rate_limits rate_limits;
+    server_rests rests;
     refused_keys refused;
     crash_suspects suspects;
     std::set<backend_server_id> invalid_rate_limits; ///< servers whose last field was invalid
+    std::set<backend_server_id> invalid_rests;       ///< servers that sent an invalid time
     connection_pool server_connections;              ///< connections for caller requests
     /// Connections on which requests that may be repeated wait for their answers.
     std::set<std::shared_ptr<upstream_connection>> repeatable_exchanges;
@@ -110,6 +117,7 @@
     /// stopped leading.
     std::uint32_t pending_grants = 0;
     std::uint32_t in_flight = 0;
+    std::uint64_t rest_answers = 0;    ///< answers that began a rest or made it longer
     std::uint64_t leaving_answers = 0; ///< lifetimes of servers that said in an answer they leave
     std::uint64_t answer_bytes = 0;    ///< total size of response bodies that are being read
     std::uint64_t buffered_bytes = 0;  ///< total size of buffered request bodies
--- a/include/figreach/error_kind.h
+++ b/include/figreach/error_kind.h
@@ -36,6 +36,7 @@
     queue_full,
     server_cold,
     server_at_limit,
+    server_resting,
     server_refused,
     server_unreachable,
     no_server_path,
--- a/src/direct/runtime/direct_host.cpp
+++ b/src/direct/runtime/direct_host.cpp
@@ -205,6 +205,11 @@
         [this] { return std::uint64_t{this->state.in_flight}; });
     add("servers_with_rate_limit", "Backend servers that name a limit of requests per second.",
         metric_type::gauge, [this] { return std::uint64_t{this->state.rate_limits.count()}; });
+    add("servers_resting", "Backend servers that want no requests from this host at this moment.",
+        metric_type::gauge,
+        [this] { return std::uint64_t{this->state.rests.count(monotonic_time::clock::now())}; });
+    add("server_rests_total", "Answers by which backend servers asked for a rest.",
+        metric_type::counter, [this] { return this->state.rest_answers; });
     add("servers_said_leaving_total", "Backend servers that said in an answer that they leave.",
         metric_type::counter, [this] { return this->state.leaving_answers; });
     add("crash_suspects", "Requests that are sent alone since servers ended while running them.",
--- a/src/direct/runtime/host_context.cpp
+++ b/src/direct/runtime/host_context.cpp
@@ -204,6 +204,26 @@
     }
 }
 
+void host_context::record_rest(const server_lifetime& server, const platform::answer_head& head,
+                               monotonic_time now)
+{
+    if (!head.invalid_rest.empty() && this->invalid_rests.insert(server.server).second) {
+        log_event(log_level::warn, "server_rest_invalid",
+                  {{"server", server.server.value}, {"field", head.invalid_rest}});
+    }
+    if (!head.rest ||
+        !this->rests.on_turned_away(server.server, server.lifetime, *head.rest, now)) {
+        return;
+    }
+    ++this->rest_answers;
+    const auto believed = this->rests.time_left(server.server, server.lifetime, now);
+    log_event(log_level::info, "server_rest",
+              {{"server", server.server.value},
+               {"lifetime", std::to_string(server.lifetime)},
+               {"asked_ms", std::to_string(head.rest->count())},
+               {"believed_ms", std::to_string(believed.count())}});
+}
+
 void host_context::merge_rate_limits(const std::vector<rate_limit_report>& reports,
                                      const host_id& from)
 {
@@ -279,7 +299,9 @@
         return this->cluster.servers().find(id) != nullptr;
     };
     this->rate_limits.prune(is_known, now);
+    this->rests.prune(now);
     std::erase_if(this->invalid_rate_limits, [&](const auto& id) { return !is_known(id); });
+    std::erase_if(this->invalid_rests, [&](const auto& id) { return !is_known(id); });
 }
 
 milliseconds host_context::spread_delay()
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -334,9 +334,13 @@
         load_tracker.on_finished(to.id, send_outcome::cancelled, {}, std::nullopt, now);
         co_return this->cancelled ? attempt_event{caller_left{}} : attempt_event{deadline_passed{}};
     }
-    if (!this->accepts_requests(to, now)) {
+    const auto rest = this->state.rests.time_left(to.id, to.lifetime, now);
+    if (rest > milliseconds{0} || !this->accepts_requests(to, now)) {
         load_tracker.on_finished(to.id, send_outcome::cancelled, {}, std::nullopt, now);
         this->state.server_connections.give_back(to.address, std::move(connection));
+        if (rest > milliseconds{0}) {
+            co_return rejected_locally{.kind = error_kind::server_resting, .retry_after = rest};
+        }
         co_return route_resolved{route_location::none};
     }
     const auto message = std::make_shared<http_request>(make_upstream_message(request.message));
@@ -359,6 +363,8 @@
     if (result.head.leaving) {
         this->state.record_leaving({.server = to.id, .lifetime = to.lifetime}, "answer");
     }
+    this->state.record_rest({.server = to.id, .lifetime = to.lifetime}, result.head,
+                            monotonic_time::clock::now());
     this->record_evidence(request, result, to, now);
     co_return this->handle_result(request, result, to, latency);
 }
@@ -532,9 +538,10 @@
         if (other_server && this->service->divided_by_key) {
             this->state.refused.on_refused(this->service->name, *request.head.key, to.fence, now);
         }
-        return refused_not_run{.kind = other_server ? error_kind::stale_route
-                                                    : error_kind::server_refused,
-                               .retry_after = refused_retry_delay};
+        return refused_not_run{
+            .kind = other_server ? error_kind::stale_route : error_kind::server_refused,
+            .retry_after = std::max(refused_retry_delay,
+                                    this->state.rests.time_left(to.id, to.lifetime, now))};
     }
     case exchange_outcome::lost:
         record(send_outcome::failed);
--- a/src/direct/runtime/request_selection.cpp
+++ b/src/direct/runtime/request_selection.cpp
@@ -126,7 +126,11 @@
             admitted = host_refusal{.kind = error_kind::server_at_limit, .retry_after = held_off};
         }
         if (const auto* refused = std::get_if<host_refusal>(&admitted)) {
-            refusal = *refused;
+            // Of several servers that rest, the first that takes requests again.
+            const bool is_later = refused->kind == error_kind::server_resting &&
+                                  refusal.kind == error_kind::server_resting &&
+                                  refused->retry_after > refusal.retry_after;
+            refusal = is_later ? refusal : *refused;
             continue;
         }
         candidates.push_back(std::get<target>(std::move(admitted)));
@@ -272,11 +276,15 @@
     return to.peers.empty() ? this->admit_load(std::move(to)) : to;
 }
 
-/// Refuses a request that the server cannot finish in time, that exceeds this host's share of
-/// connections, or that exceeds the rate limit of a cold server.
+/// Refuses a request while the server wants none from this host, that it cannot finish in time,
+/// that exceeds this host's share of connections, or that exceeds the rate limit of a cold server.
 request_runner::choice request_runner::admit_load(target to)
 {
     const auto now = monotonic_time::clock::now();
+    const auto rest = this->state.rests.time_left(to.id, to.lifetime, now);
+    if (rest > milliseconds{0}) {
+        return host_refusal{.kind = error_kind::server_resting, .retry_after = rest};
+    }
     const auto& load_tracker = this->state.load_tracker;
     if (to.cold && this->service->cold_rate > 0.0) {
         const auto next = next_cold_send(to.id, load_tracker.view(to.id), this->service->cold_rate,
--- a/src/error_kind.cpp
+++ b/src/error_kind.cpp
@@ -45,6 +45,8 @@
     {server_cold, "server_cold", 503, not_run, true, "The owner is warming up; come back."},
     {server_at_limit, "server_at_limit", 503, not_run, true,
      "The backend server takes no more requests at this moment; come back."},
+    {server_resting, "server_resting", 503, not_run, true,
+     "The backend server wants no request from this entry host for a while; come back."},
     {server_refused, "server_refused", 503, not_run, true,
      "The backend server refused the request before running it."},
     {server_unreachable, "server_unreachable", 502, not_run, true,
--- a/src/request_attempts.cpp
+++ b/src/request_attempts.cpp
@@ -181,6 +181,7 @@
     case error_kind::server_refused:
     case error_kind::server_cold:
     case error_kind::server_at_limit:
+    case error_kind::server_resting:
     case error_kind::overloaded:
     case error_kind::queue_full:
         return !this->facts.divided_by_key;
--- a/test/error_kind_test.cpp
+++ b/test/error_kind_test.cpp
@@ -42,6 +42,7 @@
     {queue_full, "queue_full", 503, not_run, true},
     {server_cold, "server_cold", 503, not_run, true},
     {server_at_limit, "server_at_limit", 503, not_run, true},
+    {server_resting, "server_resting", 503, not_run, true},
     {server_refused, "server_refused", 503, not_run, true},
     {server_unreachable, "server_unreachable", 502, not_run, true},
     {no_server_path, "no_server_path", 503, not_run, true},
