A copy of an earlier refusal does not answer the same request or a later order

Cause: an answer is told from a stray one by the request's id. A request that is tried again at the same server, by this host or by another one through it, has the same id, and went out on the kept connection of its first try. Orders have no id at all: a copy of a 421 answered the next grant, by which the leader takes the server for replaced and grants its keys to another.

Change: a connection knows the ids of requests that failed on it (64 at most) and is closed rather than used for one of them again. Connections for calls without an id (orders, the store, other hosts) are kept only after a 200.

Evidence: repeated_refusal_test failed before (503 for a request that ran; the second grant without success), passes now.

--- a/include/figreach/runtime/connection_pool.h
+++ b/include/figreach/runtime/connection_pool.h
@@ -24,8 +24,14 @@
     boost::beast::flat_buffer buffer{max_upstream_buffer_bytes};
     bool reused = false;
     monotonic_time idle_until = monotonic_time::max(); ///< not reused later than this
+    /// Ids of requests that were answered with a failure here. A second answer to such a request
+    /// could be a copy of the first one, so that the same request is not sent again here.
+    std::vector<std::string> failed_ids;
 };
 
+/// With more of them a connection is not reused.
+inline constexpr std::size_t max_failed_ids = 64;
+
 /// Closes a connection with a TCP reset, so that unsent bytes are discarded.
 void reset(upstream_connection& connection);
 
@@ -38,9 +44,11 @@
     /// boost::system::system_error if no connection can be established by the deadline.
     boost::asio::awaitable<std::unique_ptr<upstream_connection>> take(const std::string& address,
                                                                       monotonic_time deadline);
-    /// As take(), but returns null instead of throwing.
+    /// As take(), but returns null instead of throwing. Leaves out connections on which the request
+    /// has failed.
     boost::asio::awaitable<std::unique_ptr<upstream_connection>>
-    try_take(const std::string& address, monotonic_time deadline);
+    try_take(const std::string& address, monotonic_time deadline,
+             const std::string& request_id = {});
     /// A new connection even if an idle one is open; null if none can be made by the deadline.
     boost::asio::awaitable<std::unique_ptr<upstream_connection>>
     try_connect(const std::string& address, monotonic_time deadline);
@@ -54,6 +62,9 @@
 private:
     boost::asio::awaitable<std::unique_ptr<upstream_connection>> connect(std::string address,
                                                                          monotonic_time deadline);
+    /// Null if there is none that can be reused.
+    std::unique_ptr<upstream_connection> take_idle(const std::string& address,
+                                                   const std::string& request_id);
 
     boost::asio::io_context& io;
     std::size_t max_idle;
--- a/src/direct/runtime/exchange.cpp
+++ b/src/direct/runtime/exchange.cpp
@@ -156,6 +156,9 @@
         if (head.request_id != request_id && !lacks_id) {
             continue;
         }
+        if (!is_success(answer.result_int())) {
+            upstream.failed_ids.push_back(request_id);
+        }
         const bool reusable = progress->done && answer.keep_alive() && !answer.need_eof() &&
                               upstream.buffer.size() == 0;
         if (!reusable) {
--- a/src/direct/runtime/http_client.cpp
+++ b/src/direct/runtime/http_client.cpp
@@ -67,7 +67,8 @@
         co_return call_failure::no_answer;
     }
     auto answer = parser.release();
-    if (keep && answer.keep_alive()) {
+    // Calls carry no id: a copy of a refusal must not be taken for the answer to a later call.
+    if (keep && answer.keep_alive() && answer.result() == http::status::ok) {
         this->pool.give_back(address, std::move(connection));
     }
     co_return answer;
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -318,7 +318,8 @@
     this->state.rate_limits.on_sent(to.id, monotonic_time::clock::now());
     const auto connect_until =
         std::min(this->deadline, monotonic_time::clock::now() + connect_timeout);
-    auto connection = co_await this->state.server_connections.try_take(to.address, connect_until);
+    auto connection = co_await this->state.server_connections.try_take(to.address, connect_until,
+                                                                       request.head.request_id);
     const auto now = monotonic_time::clock::now();
     if (connection && !connection->reused) {
         this->state.record_server_connected();
@@ -406,7 +407,8 @@
             continue;
         }
         const auto address = host->peer_address;
-        auto connection = co_await this->state.peer_connections.try_take(address, connect_until);
+        auto connection = co_await this->state.peer_connections.try_take(address, connect_until,
+                                                                         request.head.request_id);
         const auto now = monotonic_time::clock::now();
         if (!connection) {
             this->state.peers.on_failed(name, now);
--- a/src/runtime/connection_pool.cpp
+++ b/src/runtime/connection_pool.cpp
@@ -1,5 +1,6 @@
 #include "figreach/runtime/connection_pool.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -55,19 +56,31 @@
 
 asio::awaitable<std::unique_ptr<upstream_connection>>
 connection_pool::take(const std::string& address, monotonic_time deadline)
+{
+    auto reused = this->take_idle(address, {});
+    if (reused) {
+        co_return reused;
+    }
+    co_return co_await this->connect(address, deadline);
+}
+
+std::unique_ptr<upstream_connection> connection_pool::take_idle(const std::string& address,
+                                                                const std::string& request_id)
 {
     auto& idle_connections = this->idle[address];
     while (!idle_connections.empty()) {
         auto connection = std::move(idle_connections.back());
         idle_connections.pop_back();
+        const auto& failed = connection->failed_ids;
         const bool expired = monotonic_time::clock::now() >= connection->idle_until;
-        if (!expired && connection->buffer.size() == 0 &&
+        const bool has_failed = std::find(failed.begin(), failed.end(), request_id) != failed.end();
+        if (!expired && !has_failed && connection->buffer.size() == 0 &&
             is_reusable(connection->stream.socket())) {
             connection->reused = true;
-            co_return connection;
+            return connection;
         }
     }
-    co_return co_await this->connect(address, deadline);
+    return nullptr;
 }
 
 asio::awaitable<std::unique_ptr<upstream_connection>>
@@ -87,14 +100,14 @@
 }
 
 asio::awaitable<std::unique_ptr<upstream_connection>>
-connection_pool::try_take(const std::string& address, monotonic_time deadline)
+connection_pool::try_take(const std::string& address, monotonic_time deadline,
+                          const std::string& request_id)
 {
-    try {
-        co_return co_await this->take(address, deadline);
-    }
-    catch (const boost::system::system_error&) {
-        co_return nullptr;
+    auto reused = this->take_idle(address, request_id);
+    if (reused) {
+        co_return reused;
     }
+    co_return co_await this->try_connect(address, deadline);
 }
 
 asio::awaitable<std::unique_ptr<upstream_connection>>
@@ -127,7 +140,8 @@
                                 std::unique_ptr<upstream_connection> connection)
 {
     auto& idle_connections = this->idle[address];
-    if (idle_connections.size() < this->max_idle) {
+    if (idle_connections.size() < this->max_idle &&
+        connection->failed_ids.size() < max_failed_ids) {
         connection->stream.expires_never();
         idle_connections.push_back(std::move(connection));
     }
