An odd entry hides neither the reports of a server nor the server

An entry that cannot be read counted as the end of its server in a listing, though not in a watch.

Change: report numbers and lifetimes beyond any real one, and ids that cannot be sent in a header field, make an entry unreadable; an unreadable entry says nothing about the server, in listings as in watches. A watch goes on after an unexpected error, which is logged (watch_failed); before, its coroutine ended without a line and the host followed that part no more.

--- a/include/figreach/direct/cluster_state.h
+++ b/include/figreach/direct/cluster_state.h
@@ -63,7 +63,8 @@
 /// A malformed item. It does not change the state.
 struct unreadable_item {
     std::string key;
-    std::string field; ///< the malformed field
+    std::string field;                            ///< the malformed field
+    std::optional<backend_server_id> server = {}; ///< whose entry it is
 };
 
 /// An item that is not part of the cluster state.
--- a/include/figreach/direct/runtime/store_feed.h
+++ b/include/figreach/direct/runtime/store_feed.h
@@ -56,6 +56,7 @@
 
     boost::asio::awaitable<void> join();
     boost::asio::awaitable<void> watch(store_part part);
+    boost::asio::awaitable<void> watch_once(store_part part);
     void record_answer(store_part part, monotonic_time called_at);
     void record_failure(store_part part, store_failure failure, monotonic_time called_at);
     [[nodiscard]] bool answered_otherwise(store_part part, monotonic_time called_at) const;
--- a/src/direct/cluster_state.cpp
+++ b/src/direct/cluster_state.cpp
@@ -278,6 +278,12 @@
         if (const auto* server = std::get_if<server_update>(&one)) {
             servers.insert(server->entry.id);
         }
+        else if (const auto* unreadable = std::get_if<unreadable_item>(&one)) {
+            // Says nothing about the server, neither that it has left.
+            if (unreadable->server) {
+                servers.insert(*unreadable->server);
+            }
+        }
         else if (const auto* domain = std::get_if<domain_update>(&one)) {
             domains.insert(domain->domain);
         }
--- a/src/direct/runtime/store_feed.cpp
+++ b/src/direct/runtime/store_feed.cpp
@@ -1,6 +1,7 @@
 #include "figreach/direct/runtime/store_feed.h"
 
 #include <algorithm>
+#include <exception>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -132,28 +133,46 @@
     return out;
 }
 
+/// Goes on after an unexpected error: without its watch a host would rely on what it knows for
+/// good.
 asio::awaitable<void> store_feed::watch(store_part part)
 {
     for (;;) {
-        const auto position = this->parts[part].position;
-        if (!this->state.store_reachable && part != store_part::operators) {
-            // Watching one part is enough to detect that the store is reachable again. Changes of
-            // this one are rare and small.
-            co_await this->state.cluster_changed.wait(monotonic_time::clock::now() + part_wait);
+        bool failed = false;
+        try {
+            co_await this->watch_once(part);
         }
-        else if (monotonic_time::clock::now() < this->followed_until ||
-                 (position && this->waits_for_reload(*position))) {
-            co_await sleep_for(this->state.io, follow_retry);
-        }
-        else if (!position) {
-            co_await this->load_snapshot(part);
+        catch (const std::exception& error) {
+            failed = true;
+            log_event(log_level::error, "watch_failed",
+                      {{"prefix", platform::prefix_of(part)}, {"error", error.what()}});
         }
-        else {
-            co_await this->load_changes(part, *position);
+        if (failed) {
+            co_await this->pause_after_failure(part);
         }
     }
 }
 
+asio::awaitable<void> store_feed::watch_once(store_part part)
+{
+    const auto position = this->parts[part].position;
+    if (!this->state.store_reachable && part != store_part::operators) {
+        // Watching one part is enough to detect that the store is reachable again. Changes of this
+        // one are rare and small.
+        co_await this->state.cluster_changed.wait(monotonic_time::clock::now() + part_wait);
+    }
+    else if (monotonic_time::clock::now() < this->followed_until ||
+             (position && this->waits_for_reload(*position))) {
+        co_await sleep_for(this->state.io, follow_retry);
+    }
+    else if (!position) {
+        co_await this->load_snapshot(part);
+    }
+    else {
+        co_await this->load_changes(part, *position);
+    }
+}
+
 /// Calls the store for the leader while a watch of this part is overdue. A watch that began before
 /// this host led waits longer than followers may be left without an answer. Not for key tables,
 /// whose answers are large and may be late.
--- a/test/platform/decode_test.cpp
+++ b/test/platform/decode_test.cpp
@@ -83,6 +83,19 @@
 
 const error_row entry_errors[] = {
     {"10.128.0.9:8080", "host:8080", "address"},
+    {"10.128.0.9:8080", "10.128.0.9:0", "address"},
+    {"10.128.0.9:8080", "10.128.0.9:-1", "address"},
+    {"10.128.0.9:8080", "10.128.0.9:65536", "address"},
+    {"10.128.0.9:8080", "10.128.0.9:99999999999999999999", "address"},
+    {"10.128.0.9:8080", "10.128.0.9:", "address"},
+    {"\"born\":1700000000123", "\"born\":18446744073709551615", "born"},
+    {"\"born\":1700000000123", "\"born\":1e300", "born"},
+    {"\"born\":1700000000123", "\"born\":1e999999", "born"},
+    {"\"born\":1700000000123", "\"born\":99999999999999999999999", "born"},
+    {"\"seq\":4", "\"seq\":18446744073709551615", "status.seq"},
+    {"\"seq\":4", "\"seq\":1e300", "status.seq"},
+    {"\"slots\":4", "\"slots\":18446744073709551616", "info.slots"},
+    {"\"cold_left_s\":1.25", "\"cold_left_s\":1e300", "status.cold_left_s"},
     {"\"born\":1700000000123", "\"born\":1.5", "born"},
     {"\"born\":1700000000123", "\"born\":\"x\"", "born"},
     {"\"info\":{", "\"other\":{", "info"},
@@ -320,6 +333,43 @@
     }
 }
 
+struct odd_id_row {
+    const char* name;
+    std::string id;
+};
+
+const odd_id_row odd_ids[] = {
+    {"empty", ""},          {"a space", "i 7"},         {"ends a header line", "i\r\nX: 1"},
+    {"a zero", {"i\0", 2}}, {"not ASCII", "i\xc3\xbc"}, {"too long", std::string(201, 'i')},
+};
+
+/// Guards against ids that would change the header of each request to the server.
+TEST(decode_test, refuses_ids_that_cannot_be_sent)
+{
+    for (const auto& row : odd_ids) {
+        const auto decoded = decode_server_entry(row.id, entry);
+        const auto* error = std::get_if<decode_error>(&decoded);
+        CHECK_TRUE_TEXT(error != nullptr, row.name);
+        STRCMP_EQUAL_TEXT("(id)", error->field.c_str(), row.name);
+    }
+}
+
+/// Guards against entries that end the process that reads them.
+TEST(decode_test, an_entry_may_be_nested_very_deeply)
+{
+    constexpr std::size_t depth = 400'000;
+    for (const char* open : {"[", "{\"a\":"}) {
+        std::string nested;
+        for (std::size_t i = 0; i < depth; ++i) {
+            nested += open;
+        }
+        for (const auto& text : {nested, replace_first(entry, "\"v1\"", nested),
+                                 replace_first(entry, "1.25", nested)}) {
+            CHECK_TRUE(std::holds_alternative<decode_error>(decode_server_entry("i-7", text)));
+        }
+    }
+}
+
 TEST(decode_test, survives_any_bytes)
 {
     CHECK_PROPERTY("no crash", [](const std::string& bytes, std::uint16_t cut) {
