--- a/src/direct/runtime/caller_connection.cpp
+++ b/src/direct/runtime/caller_connection.cpp
@@ -18,6 +18,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "figreach/runtime/caller_watch.h"
+#include "figreach/runtime/log.h"
 #include "figreach/runtime/relay.h"
 #include "figreach/runtime/request_framing.h"
 #include "figreach/runtime/scoped_count.h"
@@ -53,6 +54,21 @@
                       .body = message.body()});
 }
 
+/// Without this line nothing would tell why the connection ends without an answer.
+void log_unexpected_error(const std::string& request_id, const std::exception_ptr& failed)
+{
+    std::string what = "unknown";
+    try {
+        std::rethrow_exception(failed);
+    }
+    catch (const std::exception& error) {
+        what = error.what();
+    }
+    catch (...) {
+    }
+    log_event(log_level::error, "request_failed", {{"id", request_id}, {"error", what}});
+}
+
 } // namespace
 
 /// A request that has been read, until its answer has been written.
@@ -280,8 +296,10 @@
         }
         const auto& one = this->exchanges.at(*number - this->pipeline.first());
         asio::co_spawn(this->state.io, this->serve(one, *number),
-                       [self = this->shared_from_this()](const std::exception_ptr& failed) {
+                       [self = this->shared_from_this(),
+                        id = one->request.head.request_id](const std::exception_ptr& failed) {
                            if (failed) {
+                               log_unexpected_error(id, failed);
                                self->drop_all();
                                self->stream.cancel();
                            }
