Stand-in and soak: servers that say they leave or want a rest in their answers, two more promises

Rests are drawn on their own, so that the other faults of a seed stay the same.

A request is counted for the host that its caller used. Hosts pass requests on while a server, or for services without keys any server of the service, is down or its link faulty, so those times (and 3 s after) are left out.

--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -12,10 +12,11 @@
 constexpr std::uint64_t same_target_percent = 30;
 constexpr std::uint64_t same_kind_percent = 15;
 constexpr std::uint64_t max_targets = 64;
-/// All kinds but store_restored and crashing_request, which are added on their own.
-constexpr auto drawn_kinds = static_cast<std::uint64_t>(fault_kind::kinds) - 2;
+/// All kinds but store_restored, crashing_request and server_resting, which are added on their own.
+constexpr auto drawn_kinds = static_cast<std::uint64_t>(fault_kind::kinds) - 3;
 constexpr std::uint64_t restore_seed_offset = 1U << 20U;
 constexpr std::uint64_t crash_seed_offset = 1U << 21U;
+constexpr std::uint64_t rest_seed_offset = 1U << 22U;
 
 fault_kind drawn_kind(std::uint64_t number)
 {
@@ -41,6 +42,25 @@
     }
 }
 
+/// Drawn on their own, as restores are.
+void add_rests(std::vector<planned_fault>& plan, const plan_settings& settings)
+{
+    std::uint64_t state = settings.seed + rest_seed_offset;
+    const auto draw = [&state](milliseconds below) {
+        return milliseconds{static_cast<std::int64_t>(next_random(state) %
+                                                      static_cast<std::uint64_t>(below.count()))};
+    };
+    auto at = settings.earliest_start + draw(settings.mean_rest_interval);
+    while (at < settings.latest_start) {
+        plan.push_back({.at = at,
+                        .kind = fault_kind::server_resting,
+                        .target = static_cast<std::uint32_t>(next_random(state) % max_targets),
+                        .duration = settings.min_duration +
+                                    draw(settings.max_duration - settings.min_duration)});
+        at += draw(2 * settings.mean_rest_interval);
+    }
+}
+
 /// Drawn on their own, as restores are.
 void add_crashing_requests(std::vector<planned_fault>& plan, const plan_settings& settings)
 {
@@ -113,6 +133,8 @@
         return "configuration_changed";
     case fault_kind::crashing_request:
         return "crashing_request";
+    case fault_kind::server_resting:
+        return "server_resting";
     case fault_kind::kinds:
         break;
     }
@@ -145,6 +167,7 @@
         add_restores(out, settings);
     }
     add_crashing_requests(out, settings);
+    add_rests(out, settings);
     std::stable_sort(out.begin(), out.end(),
                      [](const auto& left, const auto& right) { return left.at < right.at; });
     return out;
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -34,6 +34,7 @@
     link_silent,           ///< traffic in both directions is held back for `duration`
     configuration_changed, ///< a route is added
     crashing_request,      ///< crashes servers that run it, and is repeated until the run ends
+    server_resting,        ///< turns requests away for `duration` and wants none for that time
     kinds,                 ///< number of enumerators above
 };
 
@@ -52,6 +53,7 @@
     milliseconds latest_start{12000};         ///< no fault starts at this time or later
     bool store_restores = true;               ///< whether the store comes back from copies
     milliseconds mean_restore_interval{4000}; ///< between two restores of the store
+    milliseconds mean_rest_interval{2500};    ///< between the rests of two servers
     milliseconds mean_interval{350}; ///< between the starts of two faults, which may overlap
     milliseconds min_duration{300};  ///< of faults that have a duration
     milliseconds max_duration{4000};
--- a/soak/promise_checks.cpp
+++ b/soak/promise_checks.cpp
@@ -13,6 +13,7 @@
 /// A request that crashed this many servers may arrive only so many times more.
 constexpr std::uint32_t tolerated_crashes = 3;
 constexpr std::uint32_t max_late_arrivals = 3;
+constexpr std::uint32_t max_arrivals_in_rest = 2;
 /// Statuses that guarantee that the request has not run and will not run.
 constexpr unsigned not_run_statuses[] = {408, 421, 429, 503};
 
@@ -41,6 +42,10 @@
         return "one_holder";
     case promise::newest_version:
         return "newest_version";
+    case promise::leaving_kept:
+        return "leaving_kept";
+    case promise::rest_kept:
+        return "rest_kept";
     case promise::crashes_bounded:
         return "crashes_bounded";
     case promise::recovered:
@@ -121,6 +126,42 @@
     }
 }
 
+void promise_checks::passed_on_leaving(const std::string& host, const std::string& server,
+                                       monotonic_time now)
+{
+    auto& word = this->words[{host, server}];
+    word.left_at = word.left_at.value_or(now);
+}
+
+void promise_checks::reached(const std::string& id, const std::string& server, milliseconds rest,
+                             monotonic_time now)
+{
+    const auto request = this->known.find(id);
+    if (request == this->known.end() || request->second.sent.host.empty()) {
+        return;
+    }
+    const auto& sent = request->second.sent;
+    auto& word = this->words[{sent.host, server}];
+    if (word.left_at && sent.sent_at > *word.left_at + leaving_limit) {
+        this->record(promise::leaving_kept, id + " at " + server + " from " + sent.host);
+    }
+    if (now > word.rest_from && now < word.rest_until &&
+        ++word.during_rest == max_arrivals_in_rest + 1) {
+        this->record(promise::rest_kept, id + " at " + server + " from " + sent.host);
+    }
+    if (rest > milliseconds{0} && now >= word.rest_until) {
+        word.rest_from = now + rest_slack;
+        word.rest_until = now + rest;
+        word.during_rest = 0;
+    }
+}
+
+void promise_checks::host_paused(const std::string& name)
+{
+    std::erase_if(this->words,
+                  [&](const auto& one) { return one.first.first.starts_with(name + " "); });
+}
+
 void promise_checks::crashed(const std::string& id, monotonic_time now)
 {
     auto* own = this->counts_for(id);
--- a/soak/promise_checks.h
+++ b/soak/promise_checks.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -21,6 +22,8 @@
     one_owner,      ///< two backend servers held a key and both started requests on it
     one_holder,     ///< two backend servers held a key for longer than the allowed overlap
     newest_version, ///< a host reverted to an older configuration
+    leaving_kept,   ///< a server got a request after its host had passed on that it leaves
+    rest_kept,      ///< a server got requests from a host of which it wanted none
     crashes_bounded, ///< a request that crashed three servers still arrived at servers
     recovered,       ///< no request was answered after all faults ended
     stayed_up,       ///< an entry host exited unexpectedly
@@ -31,6 +34,11 @@
 /// Within this time after the third crash, hosts in touch know about it.
 inline constexpr milliseconds stable_window{3000};
 
+/// Between an answer that says that a server leaves and the last request that may be sent to it.
+inline constexpr milliseconds leaving_limit{2000};
+/// Between an answer that asks for a rest and the first request that counts.
+inline constexpr milliseconds rest_slack{500};
+
 struct broken_promise {
     promise which = promise::ran_once;
     std::string detail;
@@ -43,6 +51,8 @@
     std::uint64_t body_bytes = 0;
     /// Path, caller and body of a request that crashes servers; empty for the others.
     std::string identity;
+    std::string host; ///< process that it was sent to
+    monotonic_time sent_at{};
 };
 
 /// What requests with the same identity did to backend servers.
@@ -78,6 +88,13 @@
     /// the sending host has been without a fault of its own, of the store and of the link to the
     /// server for `stable_window`.
     void arrived(const std::string& id, bool in_touch, monotonic_time now);
+    /// A host has passed on an answer by which the server says that it leaves.
+    void passed_on_leaving(const std::string& host, const std::string& server, monotonic_time now);
+    /// A request has reached a server, which may want none from that host for the time `rest` now.
+    void reached(const std::string& id, const std::string& server, milliseconds rest,
+                 monotonic_time now);
+    /// What a host has heard from servers no longer binds it.
+    void host_paused(const std::string& name);
     /// A backend server crashed while it ran the request.
     void crashed(const std::string& id, monotonic_time now);
     /// The server of `own` starts a request on its key while `others` hold the key, too.
@@ -109,6 +126,13 @@
         bool refused = false;
     };
 
+    struct server_word {
+        std::optional<monotonic_time> left_at; ///< the host passed on that the server leaves
+        monotonic_time rest_from{};            ///< requests between these times count
+        monotonic_time rest_until{};
+        std::uint32_t during_rest = 0;
+    };
+
     void record(promise which, std::string detail);
     /// Null for requests without an identity.
     crash_counts* counts_for(const std::string& id);
@@ -116,6 +140,8 @@
     std::map<std::string, known_request> known;
     std::map<unsigned, std::uint64_t> counts;
     std::map<std::string, crash_counts> crashing;
+    /// What servers have said, by process of a host and server.
+    std::map<std::pair<std::string, std::string>, server_word> words;
     /// Start of the last request by server and key.
     std::map<std::pair<std::string, std::uint32_t>, monotonic_time> last_started;
     /// Highest configuration version seen, by host and start number.
--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -29,6 +29,19 @@
     return now > last_fault + stable_window;
 }
 
+/// A host that cannot connect to a server passes requests on. Of a service without keys it does so
+/// for any of its servers, and the next host chooses one.
+bool soak_run::is_sent_to_directly(const standin::backend_server& server, monotonic_time now) const
+{
+    return std::all_of(this->servers.begin(), this->servers.end(), [&](const auto& place) {
+        const auto& other = *place.server;
+        const bool matters =
+            &other == &server || (!server.divided_by_key() && !other.divided_by_key());
+        const auto last_fault = std::max(place.link_faulty_until, place.absent_until);
+        return !matters || now > last_fault + stable_window;
+    });
+}
+
 void soak_run::record_fault_end(const planned_fault& fault)
 {
     // A host that received SIGTERM keeps running for a while.
@@ -62,6 +75,9 @@
         }
         host.last_start = start_number;
     }
+    for (auto& place : this->servers) {
+        place.absent_until = place.server->is_up() ? place.absent_until : now;
+    }
 }
 
 /// Ends all faults and restarts hosts and servers that are not running.
@@ -97,6 +113,9 @@
     else if (fault.kind <= fault_kind::link_silent) {
         co_await this->inject_link_fault(fault);
     }
+    else if (fault.kind == fault_kind::server_resting) {
+        co_await this->inject_server_fault(fault);
+    }
     else if (fault.kind == fault_kind::crashing_request) {
         co_await this->repeat_crashing_request(fault.target);
     }
@@ -116,6 +135,7 @@
     case fault_kind::host_paused:
         host.process->signal(SIGSTOP);
         co_await direct::sleep_for(this->io, fault.duration);
+        this->checks.host_paused(host.process->name());
         host.process->signal(SIGCONT);
         co_return;
     case fault_kind::host_cut_from_store:
@@ -193,6 +213,9 @@
     case fault_kind::server_silent:
         server.faults.silent = true;
         break;
+    case fault_kind::server_resting:
+        server.faults.rest = fault.duration;
+        break;
     case fault_kind::server_cut_from_store:
         server.faults.cut_from_store = true;
         break;
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -83,6 +83,8 @@
             [this](const auto& one, const auto& what) { this->request_started(one, what); });
         server->set_crash_listener(
             [this](const auto& one, const auto& what) { this->crash_step_taken(one, what); });
+        server->set_arrival_listener(
+            [this](const auto& one, const auto& what) { this->request_arrived(one, what); });
         auto link = std::make_unique<fault_proxy>(this->io, server->address());
         server->set_public_address(link->address());
         server->faults.ignores_fences = this->settings.servers_ignore_fences;
@@ -191,6 +193,15 @@
         others, now);
 }
 
+void soak_run::request_arrived(const standin::backend_server& server,
+                               const standin::request_arrival& what)
+{
+    const auto now = monotonic_time::clock::now();
+    if (this->is_sent_to_directly(server, now)) {
+        this->checks.reached(what.request_id, server.id(), what.rest, now);
+    }
+}
+
 void soak_run::crash_step_taken(const standin::backend_server& server,
                                 const standin::crash_event& what)
 {
@@ -331,7 +342,12 @@
                                              const host_process& host)
 {
     const auto start_number = host.start_number();
-    this->checks.sent(request.sent);
+    const auto process = host.name() + " start " + std::to_string(start_number);
+    auto sent_request = request.sent;
+    sent_request.sent_at = monotonic_time::clock::now();
+    // Suspected requests are sent by one host for all others.
+    sent_request.host = sent_request.identity.empty() ? process : "";
+    this->checks.sent(sent_request);
     connection.expires_after(response_timeout);
     const auto [unsent, sent] = co_await http::async_write(connection, request.message, no_throw);
     request_result result{.id = request.sent.id};
@@ -341,8 +357,15 @@
         const auto [failed, count] =
             co_await http::async_read(connection, buffer, parser, no_throw);
         if (!failed) {
-            result.status = parser.get().result_int();
-            result.body = parser.get().body();
+            const auto& answer = parser.get();
+            result.status = answer.result_int();
+            result.body = answer.body();
+            constexpr std::string_view before_server = "signed-";
+            const std::string signature{answer[name::signature]};
+            if (answer[name::server_leaving] == "1" && signature.starts_with(before_server)) {
+                this->checks.passed_on_leaving(process, signature.substr(before_server.size()),
+                                               monotonic_time::clock::now());
+            }
         }
     }
     this->checks.finished(result);
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -53,6 +53,7 @@
         std::unique_ptr<standin::backend_server> server;
         std::unique_ptr<fault_proxy> link;
         monotonic_time link_faulty_until{};
+        monotonic_time absent_until{}; ///< the server was down until then
     };
     struct host_entry {
         std::unique_ptr<fault_proxy> store_link;
@@ -71,7 +72,12 @@
     void add_hosts();
     void write_configuration();
     void request_started(const standin::backend_server& server, const standin::backend_run& what);
+    void request_arrived(const standin::backend_server& server,
+                         const standin::request_arrival& what);
     void crash_step_taken(const standin::backend_server& server, const standin::crash_event& what);
+    /// Whether hosts send requests for this server themselves instead of passing them on.
+    [[nodiscard]] bool is_sent_to_directly(const standin::backend_server& server,
+                                           monotonic_time now) const;
     /// Whether a request from the host reaches the server without a fault in `stable_window`.
     [[nodiscard]] bool in_touch(const host_entry& host, const standin::backend_server& server,
                                 monotonic_time now) const;
--- a/test/soak/promise_checks_test.cpp
+++ b/test/soak/promise_checks_test.cpp
@@ -30,6 +30,13 @@
     checks.sent({.id = id, .identity = identity});
 }
 
+/// Sends a request to a server that wants none for 3 s each time.
+void send_to_resting(promise_checks& checks, milliseconds at)
+{
+    checks.sent({.id = "r", .host = "h 1", .sent_at = start + at});
+    checks.reached("r", "s", seconds{3}, start + at);
+}
+
 /// The last of the crashes comes 300 ms after the start.
 void crash_servers(promise_checks& checks, int count)
 {
@@ -208,6 +215,51 @@
          }
      },
      {}},
+    {"requests to a server that leaves, until the limit",
+     [](promise_checks& checks) {
+         checks.passed_on_leaving("h 1", "s", start);
+         checks.passed_on_leaving("h 1", "s", start + seconds{1});
+         checks.sent({.id = "a", .host = "h 1", .sent_at = start + leaving_limit});
+         checks.reached("a", "s", {}, start + seconds{3});
+         checks.sent({.id = "b", .host = "h 2", .sent_at = start + seconds{3}});
+         checks.reached("b", "s", {}, start + seconds{3});
+         checks.sent({.id = "c", .host = "h 1", .sent_at = start + seconds{3}});
+         checks.reached("c", "other", {}, start + seconds{3});
+     },
+     {}},
+    {"a request to a server that leaves, after the limit",
+     [](promise_checks& checks) {
+         checks.passed_on_leaving("h 1", "s", start);
+         checks.sent({.id = "a", .host = "h 1", .sent_at = start + milliseconds{2001}});
+         checks.reached("a", "s", {}, start + seconds{3});
+     },
+     {promise::leaving_kept}},
+    {"a host that was paused is excused",
+     [](promise_checks& checks) {
+         checks.passed_on_leaving("h 1", "s", start);
+         send_to_resting(checks, seconds{1});
+         checks.host_paused("h");
+         checks.sent({.id = "a", .host = "h 1", .sent_at = start + seconds{3}});
+         checks.reached("a", "s", {}, start + seconds{3});
+     },
+     {}},
+    {"two requests in a rest, and more before and after",
+     [](promise_checks& checks) {
+         for (const auto at :
+              {milliseconds{0}, milliseconds{100}, milliseconds{500}, milliseconds{600},
+               milliseconds{700}, milliseconds{3000}, milliseconds{3100}, milliseconds{3200}}) {
+             send_to_resting(checks, at);
+         }
+     },
+     {}},
+    {"three requests in a rest",
+     [](promise_checks& checks) {
+         for (const auto at : {milliseconds{0}, milliseconds{600}, milliseconds{700},
+                               milliseconds{2900}, milliseconds{2950}}) {
+             send_to_resting(checks, at);
+         }
+     },
+     {promise::rest_kept}},
     {"nobody is served after the faults",
      [](promise_checks& checks) { checks.answers_after_faults(0); },
      {promise::recovered}},
