--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -107,15 +107,13 @@
     else if (fault.kind <= fault_kind::store_restored) {
         co_await this->inject_store_fault(fault);
     }
-    else if (fault.kind <= fault_kind::server_answers_lost) {
+    else if (fault.kind <= fault_kind::server_answers_lost ||
+             fault.kind == fault_kind::server_resting) {
         co_await this->inject_server_fault(fault);
     }
     else if (fault.kind <= fault_kind::link_silent) {
         co_await this->inject_link_fault(fault);
     }
-    else if (fault.kind == fault_kind::server_resting) {
-        co_await this->inject_server_fault(fault);
-    }
     else if (fault.kind == fault_kind::crashing_request) {
         co_await this->repeat_crashing_request(fault.target);
     }
--- a/test/direct/server_directory_test.cpp
+++ b/test/direct/server_directory_test.cpp
@@ -57,11 +57,11 @@
 };
 
 struct said_row {
-    const char* name;
+    const char* name = "";
     leaving_report said;
     server_entry then; ///< an entry that comes later
-    bool is_news;
-    bool leaves;
+    bool is_news = false;
+    bool leaves = false;
 };
 
 /// After an answer of server "a", whose entry in the directory is of lifetime 5, report 3.
