Metrics of direct hosts: counts that another thread reads are sampled, not taken from maps that change

What could be seen: a process that ends when /metrics is read while a limit, a rest or a suspected request comes or goes. The page is served on its own thread; servers_with_rate_limit and crash_suspects iterated maps of the event loop there, and the new servers_resting did the same. Found by reading the change; no run shows it. They are sampled at each check of the cluster now.

--- a/include/figreach/direct/runtime/direct_host.h
+++ b/include/figreach/direct/runtime/direct_host.h
@@ -37,6 +37,18 @@
     void run();
 
 private:
+    /// Counts that `admin` reads on its own thread, as of the last check of the cluster.
+    struct sampled_counts {
+        std::atomic<std::uint64_t> unreadable_entries{0}; ///< in the configuration
+        std::atomic<std::uint64_t> limited_servers{0};
+        std::atomic<std::uint64_t> resting_servers{0};
+        std::atomic<std::uint64_t> rest_answers{0};
+        std::atomic<std::uint64_t> leaving_answers{0};
+        std::atomic<std::uint64_t> suspected_requests{0};
+        std::atomic<std::uint64_t> held_requests{0};
+        std::atomic<bool> path_lost{false};
+    };
+
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> watch_signals();
     boost::asio::awaitable<void> watch_cluster();
@@ -45,6 +57,7 @@
     void reload();
     void close_idle_connections();
     void add_metrics();
+    void sample_counts();
 
     boost::asio::io_context io{1};
     metrics metrics_page;
@@ -60,7 +73,7 @@
     std::set<std::weak_ptr<caller_connection>, std::owner_less<>> connections;
     bool resigned = false; ///< leadership and registration have been released
     std::atomic<bool> ready{false};
-    std::atomic<std::uint64_t> unreadable_entries{0}; ///< in the configuration; read by `admin`
+    sampled_counts counts;
     admin_server admin;
 };
 
--- a/src/direct/runtime/direct_host.cpp
+++ b/src/direct/runtime/direct_host.cpp
@@ -111,9 +111,7 @@
             }
             this->leader.record_service_times(this->state.load_tracker.take_service_times());
         }
-        if (const auto routes = this->state.cluster.routes()) {
-            this->unreadable_entries = routes->configuration().unreadable.size();
-        }
+        this->sample_counts();
         this->state.forget_removed_servers(monotonic_time::clock::now());
         this->state.refresh_crash_suspects(monotonic_time::clock::now());
         this->state.peers.on_tick(monotonic_time::clock::now());
@@ -185,6 +183,20 @@
     log_event(log_level::info, "settings_reloaded", {{"log_level", parsed.value.log_level}});
 }
 
+void direct_host::sample_counts()
+{
+    if (const auto routes = this->state.cluster.routes()) {
+        this->counts.unreadable_entries = routes->configuration().unreadable.size();
+    }
+    this->counts.limited_servers = this->state.rate_limits.count();
+    this->counts.resting_servers = this->state.rests.count(monotonic_time::clock::now());
+    this->counts.rest_answers = this->state.rest_answers;
+    this->counts.leaving_answers = this->state.leaving_answers;
+    this->counts.suspected_requests = this->state.suspects.count_at(crash_level::suspected);
+    this->counts.held_requests = this->state.suspects.count_at(crash_level::held);
+    this->counts.path_lost = this->state.path.is_lost();
+}
+
 void direct_host::add_metrics()
 {
     const auto add = [this](const char* name, const char* help, metric_type type,
@@ -200,26 +212,23 @@
         metric_type::gauge, [this] { return static_cast<std::uint64_t>(this->state.store.era()); });
     add("unreadable_configuration_entries",
         "Entries of the configuration in force that cannot be read; their requests are refused.",
-        metric_type::gauge, [this] { return this->unreadable_entries.load(); });
+        metric_type::gauge, [this] { return this->counts.unreadable_entries.load(); });
     add("requests_in_flight", "Requests under way.", metric_type::gauge,
         [this] { return std::uint64_t{this->state.in_flight}; });
     add("servers_with_rate_limit", "Backend servers that name a limit of requests per second.",
-        metric_type::gauge, [this] { return std::uint64_t{this->state.rate_limits.count()}; });
+        metric_type::gauge, [this] { return this->counts.limited_servers.load(); });
     add("servers_resting", "Backend servers that want no requests from this host at this moment.",
-        metric_type::gauge,
-        [this] { return std::uint64_t{this->state.rests.count(monotonic_time::clock::now())}; });
+        metric_type::gauge, [this] { return this->counts.resting_servers.load(); });
     add("server_rests_total", "Answers by which backend servers asked for a rest.",
-        metric_type::counter, [this] { return this->state.rest_answers; });
+        metric_type::counter, [this] { return this->counts.rest_answers.load(); });
     add("servers_said_leaving_total", "Backend servers that said in an answer that they leave.",
-        metric_type::counter, [this] { return this->state.leaving_answers; });
+        metric_type::counter, [this] { return this->counts.leaving_answers.load(); });
     add("crash_suspects", "Requests that are sent alone since servers ended while running them.",
-        metric_type::gauge,
-        [this] { return std::uint64_t{this->state.suspects.count_at(crash_level::suspected)}; });
+        metric_type::gauge, [this] { return this->counts.suspected_requests.load(); });
     add("crash_held", "Requests that are refused since servers ended while running them.",
-        metric_type::gauge,
-        [this] { return std::uint64_t{this->state.suspects.count_at(crash_level::held)}; });
+        metric_type::gauge, [this] { return this->counts.held_requests.load(); });
     add("server_path_lost", "Whether the host reaches no backend server.", metric_type::gauge,
-        [this] { return std::uint64_t{this->state.path.is_lost() ? 1U : 0U}; });
+        [this] { return std::uint64_t{this->counts.path_lost ? 1U : 0U}; });
     add("ready", "Whether the host takes new connections.", metric_type::gauge,
         [this] { return std::uint64_t{this->ready ? 1U : 0U}; });
 }
