A range beside another one of its owner is joined with it, not moved to it

Cause: an idle range goes to the owner of the keys before it, also if that owner is its own. While it moves it cannot be joined.

--- a/src/direct/key_plan.cpp
+++ b/src/direct/key_plan.cpp
@@ -434,9 +434,11 @@
     // At most every second range, so that each one has a neighbour that stays.
     bool before_moves = true;
     for (const auto& range : table.ranges) {
+        const auto target = owner_before(table, range.keys);
+        // A range beside another one of its owner is joined with it, not moved.
         const bool moves = !before_moves && !range.moving && !range.owner.empty() &&
-                           loads.share(range.keys) < idle &&
-                           takers.contains(owner_before(table, range.keys));
+                           range.owner != target && loads.share(range.keys) < idle &&
+                           takers.contains(target);
         if (moves) {
             out.push_back(range.keys);
         }
