--- /dev/null
+++ b/review/standin/link.hh
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+namespace figreach::review {
+
+/// A proxy between one host and the store. It can be cut, and it can lose the answer to a call.
+class link {
+public:
+    link(boost::asio::io_context& io, std::string to);
+
+    bool cut = false; ///< nothing passes, in either direction
+    /// Whether the answer to this call is lost. Nothing more passes on its connection then.
+    std::function<bool(std::string_view call)> loses_answer;
+
+    [[nodiscard]] const std::string& address() const;
+
+private:
+    struct pair;
+
+    boost::asio::awaitable<void> accept();
+    boost::asio::awaitable<void> pass_calls(std::shared_ptr<pair> ends);
+    boost::asio::awaitable<void> pass_answers(std::shared_ptr<pair> ends);
+    boost::asio::awaitable<void> wait_while_cut();
+
+    boost::asio::io_context& io;
+    std::string target;
+    boost::asio::ip::tcp::acceptor listening;
+    std::string own_address;
+};
+
+} // namespace figreach::review
