--- a/review/standin/deployment.hh
+++ b/review/standin/deployment.hh
@@ -60,8 +60,9 @@
                    const std::string& store_address = {});
     void write_configuration();
     void write_item(const std::string& key, const std::string& value);
-    void remove_items(const std::vector<std::string>& keys);
 
+    /// Removes lapsed entries of workers for as long as the deployment runs.
+    boost::asio::awaitable<void> sweep_entries();
     /// Waits until all hosts say that they are ready.
     boost::asio::awaitable<bool> wait_until_ready();
     /// Opens a connection to the host; empty if there is none.
@@ -86,6 +87,8 @@
     bool callers_active = true;
 
 private:
+    void remove_item(const std::string& key);
+
     std::filesystem::path program;
     std::filesystem::path folder;
     std::uint64_t next_request = 1;
--- a/review/standin/worker.hh
+++ b/review/standin/worker.hh
@@ -63,6 +63,8 @@
     /// Its entry as another writer would write it for another service.
     [[nodiscard]] std::string entry_for(const std::string& service, std::uint64_t born_ms) const;
     [[nodiscard]] bool is_up() const;
+    /// Whether its entry lapses: it has not reported for three intervals.
+    [[nodiscard]] bool is_silent(monotonic_time now) const;
     [[nodiscard]] bool holds(std::uint32_t key, monotonic_time now) const;
     [[nodiscard]] monotonic_time held_since(std::uint32_t key) const;
 
@@ -90,7 +92,7 @@
     bool up = false;
     std::uint64_t born_ms = 0;
     std::uint64_t sequence = 0;
-    std::int64_t lease = 0;
+    monotonic_time reported_at{};
     standin::key_holder held;
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
