Review, case 5: a host that starts into a restored store waits for no earlier grants

Workers see: after the store came back from a copy older than the first term, keys have two holders for 2.1 s, and both run requests.

Cause: former_orders_wait returns no wait if the store has no term and the process has seen none, which holds for a host that has just started, whatever the era.

--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -39,6 +39,20 @@
     };
 }
 
+/// As above; some keys, close to one another, are far busier than the others.
+std::function<call()> skewed_calls(deployment& all, std::uint64_t seed)
+{
+    constexpr std::uint32_t first_busy = 16384;
+    constexpr std::uint32_t busy_count = 4096;
+    return [next = keyed_calls(all, seed), random = seed]() mutable {
+        auto out = next();
+        if (next_random(random) % 4 != 0) {
+            out.key = first_busy + static_cast<std::uint32_t>(next_random(random) % busy_count);
+        }
+        return out;
+    };
+}
+
 /// Looks at the workers' keys for a while.
 asio::awaitable<void> watch_holders(deployment& all, holder_check& check, milliseconds time)
 {
@@ -414,6 +428,76 @@
                std::to_string(check.longest().count()) + " ms" + shared_runs(all));
 }
 
+/// The store comes back from a copy that is older than the first leader, while one host starts
+/// anew. With trouble 2 no host starts anew.
+asio::awaitable<void> restored_store(deployment& all, verdict& out, int trouble)
+{
+    constexpr std::uint32_t host_count = 6;
+    constexpr std::uint32_t worker_count = 12;
+    constexpr std::uint32_t callers = 40;
+    constexpr milliseconds away{1600};
+    constexpr milliseconds watched{8000};
+    constexpr milliseconds restart_delay{800};
+    add_keyed_workers(all, worker_count, 3);
+    for (std::uint32_t i = 0; i < host_count; ++i) {
+        all.add_host("edge-" + std::to_string(i + 1),
+                     std::string{"kl-"} + static_cast<char>('a' + i % 3));
+    }
+    all.write_configuration();
+    const auto copied_at = monotonic_time::clock::now();
+    all.model.take_copy(copied_at);
+    start_all(all);
+    if (!co_await all.wait_until_ready()) {
+        finish(all, out, verdict::could_not_run, "the hosts are not ready");
+        co_return;
+    }
+    for (std::uint32_t i = 0; i < callers; ++i) {
+        asio::co_spawn(all.io,
+                       all.run_caller(pointers(all), skewed_calls(all, i + 1), caller_pause),
+                       asio::detached);
+    }
+    holder_check check{all};
+    co_await watch_holders(all, check, settle_time);
+    const auto leading = all.model.find("figreach/leader");
+    if (!leading || check.longest() > allowed_overlap) {
+        finish(all, out, verdict::could_not_run, "no steady state");
+        co_return;
+    }
+    auto& restarted = leading->item.value == all.hosts[0]->name() ? *all.hosts[1] : *all.hosts[0];
+    if (trouble != 0) {
+        all.store.faults.silent = true;
+        all.log.line("the store is away; " + leading->item.value + " leads");
+        if (trouble == 1) {
+            restarted.signal(SIGKILL);
+            all.log.line("killed: " + restarted.name());
+        }
+        co_await watch_holders(all, check, restart_delay);
+        if (trouble == 1 && !restarted.is_running()) {
+            restarted.start();
+            all.log.line("started again: " + restarted.name());
+        }
+        co_await watch_holders(all, check, away - restart_delay);
+        const auto now = monotonic_time::clock::now();
+        const auto age = std::chrono::duration_cast<milliseconds>(now - copied_at);
+        if (!all.model.restore(age, now)) {
+            finish(all, out, verdict::could_not_run, "no copy of the store");
+            co_return;
+        }
+        all.store.faults.silent = false;
+        all.store.notify();
+        all.log.line("the store is back from a copy that is " + std::to_string(age.count()) +
+                     " ms old");
+    }
+    co_await watch_holders(all, check, watched);
+    all.callers_active = false;
+    co_await direct::sleep_for(all.io, settle_time);
+    const bool broken = check.longest() > allowed_overlap;
+    finish(all, out, broken ? verdict::broken : verdict::held,
+           "OWNER: " + std::to_string(check.keys_held_twice()) +
+               " of 512 sampled keys held by two live workers for over 500 ms, longest " +
+               std::to_string(check.longest().count()) + " ms" + shared_runs(all));
+}
+
 template <asio::awaitable<void> (*body)(deployment&, verdict&, int)>
 verdict play_case(const case_settings& settings)
 {
@@ -431,6 +515,7 @@
         {"cut-from-store", play_case<cut_from_store>},
         {"chunked-uploads", play_case<chunked_uploads>},
         {"claim-twice", play_case<claim_twice>},
+        {"restored-store", play_case<restored_store>},
     };
     return out;
 }
