--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case.sh" chunked-uploads "$(dirname "$0")"
+exec "$(dirname "$0")/../run-case.sh" restored-store "$(dirname "$0")"
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case.sh" restored-store "$(dirname "$0")"
+exec "$(dirname "$0")/../run-case.sh" cut-from-store "$(dirname "$0")"
--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -498,6 +498,87 @@
                std::to_string(check.longest().count()) + " ms" + shared_runs(all));
 }
 
+/// The leader is cut from the store and the other hosts while it reaches the workers. A zone is
+/// emptied, and one of its workers starts again under its id. With trouble 2 no worker starts
+/// again.
+asio::awaitable<void> restarted_worker(deployment& all, verdict& out, int trouble)
+{
+    constexpr std::uint32_t host_count = 6;
+    constexpr std::uint32_t worker_count = 12;
+    constexpr std::uint32_t callers = 40;
+    constexpr milliseconds until_evacuation{3000};
+    constexpr milliseconds until_crash{350};
+    constexpr milliseconds down{700};
+    constexpr milliseconds until_healed{5500};
+    constexpr milliseconds watched{6000};
+    add_keyed_workers(all, worker_count, 3);
+    std::vector<std::unique_ptr<linked_host>> hosts;
+    for (std::uint32_t i = 0; i < host_count; ++i) {
+        hosts.push_back(
+            std::make_unique<linked_host>(all, "edge-" + std::to_string(i + 1),
+                                          std::string{"kl-"} + static_cast<char>('a' + i % 3)));
+    }
+    start_all(all);
+    if (!co_await all.wait_until_ready()) {
+        finish(all, out, verdict::could_not_run, "the hosts are not ready");
+        co_return;
+    }
+    for (std::uint32_t i = 0; i < callers; ++i) {
+        asio::co_spawn(all.io, all.run_caller(pointers(all), keyed_calls(all, i + 1), caller_pause),
+                       asio::detached);
+    }
+    holder_check check{all};
+    co_await watch_holders(all, check, settle_time);
+    const auto leading = all.model.find("figreach/leader");
+    const auto leader = std::find_if(hosts.begin(), hosts.end(), [&](const auto& one) {
+        return leading && one->process.name() == leading->item.value;
+    });
+    if (leader == hosts.end() || check.longest() > allowed_overlap) {
+        finish(all, out, verdict::could_not_run, "no steady state");
+        co_return;
+    }
+    const std::string zone = "kl-a";
+    std::vector<worker*> inside;
+    for (const auto& one : all.workers) {
+        if (one->about().failure_domain == zone) {
+            inside.push_back(one.get());
+        }
+    }
+    if (trouble != 0) {
+        (*leader)->set_cut(true);
+        all.log.line("cut from the store and the other hosts: " + (*leader)->process.name() +
+                     ", which leads");
+    }
+    co_await watch_holders(all, check, until_evacuation);
+    all.write_item("op/evacuate/" + zone, "{}");
+    all.log.line("evacuated: " + zone);
+    co_await watch_holders(all, check, until_crash);
+    for (auto* one : inside) {
+        if (trouble == 1) {
+            all.log.line("crashes: " + one->about().id + " in " + zone);
+            one->end();
+        }
+    }
+    co_await watch_holders(all, check, down);
+    for (auto* one : inside) {
+        if (trouble == 1) {
+            one->start();
+            all.log.line("starts again under its id: " + one->about().id);
+        }
+    }
+    co_await watch_holders(all, check, until_healed);
+    (*leader)->set_cut(false);
+    all.log.line("nothing is cut any more");
+    co_await watch_holders(all, check, watched);
+    all.callers_active = false;
+    co_await direct::sleep_for(all.io, settle_time);
+    const bool broken = check.longest() > allowed_overlap;
+    finish(all, out, broken ? verdict::broken : verdict::held,
+           "OWNER: " + std::to_string(check.keys_held_twice()) +
+               " of 512 sampled keys held by two live workers for over 500 ms, longest " +
+               std::to_string(check.longest().count()) + " ms" + shared_runs(all));
+}
+
 template <asio::awaitable<void> (*body)(deployment&, verdict&, int)>
 verdict play_case(const case_settings& settings)
 {
@@ -515,6 +596,7 @@
         {"cut-from-store", play_case<cut_from_store>},
         {"chunked-uploads", play_case<chunked_uploads>},
         {"claim-twice", play_case<claim_twice>},
+        {"restarted-worker", play_case<restarted_worker>},
         {"restored-store", play_case<restored_store>},
     };
     return out;
--- a/review/standin/deployment.cc
+++ b/review/standin/deployment.cc
@@ -267,6 +267,22 @@
     return "q" + std::to_string(this->next_request++);
 }
 
+linked_host::linked_host(deployment& all, const std::string& name,
+                         const std::string& failure_domain)
+    : to_store{all.io, all.store.address()},
+      process{all.add_host(name, failure_domain, this->to_store.address())},
+      from_peers{all.io, this->process.peer_address()}
+{
+    this->to_store.own_peer_address = this->process.peer_address();
+    this->to_store.public_peer_address = this->from_peers.address();
+}
+
+void linked_host::set_cut(bool cut)
+{
+    this->to_store.cut = cut;
+    this->from_peers.cut = cut;
+}
+
 holder_check::holder_check(deployment& all_) : all{all_} {}
 
 void holder_check::look()
--- a/review/standin/deployment.hh
+++ b/review/standin/deployment.hh
@@ -13,6 +13,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include "host.hh"
+#include "link.hh"
 #include "record.hh"
 #include "store_server.h"
 #include "worker.hh"
@@ -95,6 +96,17 @@
     std::uint64_t caller_count = 0;
 };
 
+/// A host whose connections to the store and from other hosts pass through proxies.
+struct linked_host {
+    linked_host(deployment& all, const std::string& name, const std::string& failure_domain);
+
+    void set_cut(bool cut);
+
+    link to_store;
+    host& process;
+    link from_peers;
+};
+
 /// Finds keys that two workers hold at the same time.
 class holder_check {
 public:
--- a/review/standin/host.cc
+++ b/review/standin/host.cc
@@ -55,13 +55,14 @@
       program{std::move(program_)},
       folder{std::move(folder_)},
       caller{free_address()},
-      admin{free_address()}
+      admin{free_address()},
+      peer{free_address()}
 {
     // platform/settings.toml, filled in with the bounds of the small sites.
     std::ofstream out{this->folder / (this->own_name + ".toml")};
     out << "name = \"" << this->own_name << "\"\nfailure_domain = \"" << failure_domain
         << "\"\ncaller_address = \"" << this->caller << "\"\nadmin_address = \"" << this->admin
-        << "\"\npeer_address = \"" << free_address() << "\"\nstore_address = \"" << store_address
+        << "\"\npeer_address = \"" << this->peer << "\"\nstore_address = \"" << store_address
         << "\"\nprocessor_share = 0.2\nstop_limit_s = 6\nleaving_limit_s = 2\nrepeat_share = 0.2\n"
         << "repeat_allowance = 64\nlongest_hold_s = 10\nreport_interval_s = 0.87\n";
 }
@@ -179,6 +180,11 @@
     return this->admin;
 }
 
+const std::string& host::peer_address() const
+{
+    return this->peer;
+}
+
 const std::string& host::ending() const
 {
     return this->ended;
--- a/review/standin/host.hh
+++ b/review/standin/host.hh
@@ -30,6 +30,7 @@
     [[nodiscard]] const std::string& name() const;
     [[nodiscard]] const std::string& caller_address() const;
     [[nodiscard]] const std::string& admin_address() const;
+    [[nodiscard]] const std::string& peer_address() const;
     /// How the process ended; empty if it has not.
     [[nodiscard]] const std::string& ending() const;
 
@@ -39,6 +40,7 @@
     std::filesystem::path folder;
     std::string caller;
     std::string admin;
+    std::string peer;
     pid_t process = 0; ///< 0 if it does not run
     std::string ended;
 };
--- a/review/standin/link.cc
+++ b/review/standin/link.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include "base64.h"
 #include "figreach/direct/runtime/change_signal.h"
 #include "figreach/runtime/connection_pool.h"
 
@@ -63,6 +64,26 @@
     }
 }
 
+/// Replaces the address in a host's registration by one of the same length.
+std::string link::translate(std::string call) const
+{
+    constexpr std::string_view before_value = R"("value":")";
+    const auto key = call.find("figreach/hosts/");
+    const auto value = key == std::string::npos ? key : call.find(before_value, key);
+    if (this->own_peer_address.empty() || value == std::string::npos) {
+        return call;
+    }
+    const auto first = value + before_value.size();
+    const auto length = call.find('"', first) - first;
+    auto bytes = platform::base64_decode(call.substr(first, length));
+    const auto at = bytes ? bytes->find(this->own_peer_address) : std::string::npos;
+    if (at == std::string::npos) {
+        return call;
+    }
+    bytes->replace(at, this->own_peer_address.size(), this->public_peer_address);
+    return call.replace(first, length, platform::base64_encode(*bytes));
+}
+
 asio::awaitable<void> link::wait_while_cut()
 {
     while (this->cut) {
@@ -86,8 +107,9 @@
         }
         ends->lost =
             ends->lost || (this->loses_answer && this->loses_answer({chunk.data(), count}));
+        const auto call = this->translate({chunk.data(), count});
         const auto [unsent, sent] =
-            co_await asio::async_write(ends->store, asio::buffer(chunk.data(), count), no_throw);
+            co_await asio::async_write(ends->store, asio::buffer(call), no_throw);
         if (unsent) {
             break;
         }
--- a/review/standin/worker.cc
+++ b/review/standin/worker.cc
@@ -52,14 +52,24 @@
       store_api{store_api_},
       settings{std::move(settings_)},
       listening{io_, tcp::endpoint{asio::ip::address_v4::loopback(), 0}},
-      own_address{"127.0.0.1:" + std::to_string(this->listening.local_endpoint().port())}
+      endpoint{this->listening.local_endpoint()},
+      own_address{"127.0.0.1:" + std::to_string(this->endpoint.port())}
 {
 }
 
 void worker::start()
 {
+    if (!this->listening.is_open()) {
+        this->listening = tcp::acceptor{this->io, this->endpoint};
+    }
     this->up = true;
     this->born_ms = unix_ms();
+    ++this->starts;
+    this->sequence = 0;
+    this->held = {};
+    this->running = 0;
+    this->waiting = 0;
+    this->running_by_key.clear();
     asio::co_spawn(this->io, this->accept(), asio::detached);
     asio::co_spawn(this->io, this->report(), asio::detached);
 }
@@ -209,6 +219,7 @@
 
 asio::awaitable<worker::answer> worker::work(const http_request& request)
 {
+    const auto life = this->starts;
     const auto head = platform::decode_caller_head(request);
     const auto deadline = monotonic_time::clock::now() + head.time_limit.value_or(seconds{5});
     const auto refuse = [this](unsigned status) {
@@ -228,14 +239,14 @@
         co_return refuse(503);
     }
     ++this->waiting;
-    while (this->running >= this->settings.slots && this->up &&
+    while (this->running >= this->settings.slots && this->up && this->starts == life &&
            monotonic_time::clock::now() < deadline) {
         co_await direct::sleep_for(this->io, poll_interval);
     }
-    --this->waiting;
-    if (!this->up) {
+    if (!this->up || this->starts != life) {
         co_return std::nullopt;
     }
+    --this->waiting;
     const auto now = monotonic_time::clock::now();
     const bool lacks_key =
         this->settings.divided_by_key && (!head.key || !this->holds(*head.key, now));
@@ -250,13 +261,13 @@
         this->on_run(*this, what);
     }
     co_await direct::sleep_for(this->io, this->settings.work);
+    if (!this->up || this->starts != life) {
+        co_return std::nullopt;
+    }
     --this->running;
     if (head.key && --this->running_by_key[*head.key] == 0) {
         this->running_by_key.erase(*head.key);
     }
-    if (!this->up) {
-        co_return std::nullopt;
-    }
     const bool expired =
         this->settings.divided_by_key && !this->holds(*head.key, monotonic_time::clock::now());
     auto out = this->make_answer(expired ? 500 : 200);
@@ -283,7 +294,8 @@
 
 asio::awaitable<void> worker::report()
 {
-    while (this->up) {
+    const auto life = this->starts;
+    while (this->up && this->starts == life) {
         if (this->reports) {
             this->write_entry();
         }
--- a/review/standin/worker.hh
+++ b/review/standin/worker.hh
@@ -52,6 +52,7 @@
     /// Whether a connection from this port of a caller is cut, so that it is reset.
     std::function<bool(std::uint16_t port)> is_cut_from;
 
+    /// Starts the process; after end() it starts again under its id and address.
     void start();
     /// Ends the process: closes its port and resets all connections.
     void end();
@@ -87,7 +88,9 @@
     standin::store_server& store_api;
     worker_settings settings;
     boost::asio::ip::tcp::acceptor listening;
+    boost::asio::ip::tcp::endpoint endpoint;
     std::string own_address;
+    std::uint64_t starts = 0;
     std::set<std::shared_ptr<stream>> connections;
     bool up = false;
     std::uint64_t born_ms = 0;
