Review, case 1: a cut-off leader gives a restarted worker the keys that another one has by now

Workers see: a third of all keys has two holders for 8.2 s, and both run requests.

Cause: that a worker has taken the fence of a move is kept as proof that it refuses grants of earlier leaders. A worker that starts again under its id remembers no fence.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case.sh" foreign-entry "$(dirname "$0")"
+exec "$(dirname "$0")/../run-case.sh" restarted-worker "$(dirname "$0")"
