--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -275,7 +275,8 @@
     constexpr std::size_t body_bytes = std::size_t{30} * 1024 * 1024;
     constexpr std::uint64_t memory_mib = 260;
     constexpr std::uint64_t allowed_losses = 3; ///< LOST: "more than three times"
-    constexpr milliseconds watched{12000};
+    constexpr milliseconds send_time{2000};
+    constexpr milliseconds watched{24000};
     constexpr milliseconds memory_interval{5};
     for (std::uint32_t i = 0; i < worker_count; ++i) {
         all.add_worker({.id = "s-" + std::to_string(i + 1),
@@ -309,7 +310,7 @@
             what.path = "/upload/audio";
             what.idempotent = false;
             what.body = std::string(body_bytes, 'u');
-            what.chunked = true;
+            what.send_time = send_time;
             what.time_limit = milliseconds{3000};
             co_await all.send(*connection, target, std::move(what), i > 0);
             --pending;
--- a/review/standin/deployment.cc
+++ b/review/standin/deployment.cc
@@ -5,9 +5,12 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -33,6 +36,7 @@
 constexpr milliseconds poll_interval{50};
 constexpr milliseconds connect_timeout{1000};
 constexpr milliseconds answer_margin{1500}; ///< beyond the time limit of a request
+constexpr std::size_t chunk_count = 60;
 constexpr std::uint32_t sampled_keys = 512;
 constexpr milliseconds sweep_interval{800};
 constexpr milliseconds allowed_overlap{500};
@@ -80,7 +84,6 @@
         this->calls[what.id].arrived = true;
     };
     one->on_run = [this](const worker& at, const worker_request& what) {
-        ++this->calls[what.id].runs;
         const auto now = monotonic_time::clock::now();
         const auto also_holds = [&](const auto& one) {
             return one.get() != &at && what.key && one->holds(*what.key, now);
@@ -196,6 +199,37 @@
     co_return out;
 }
 
+asio::awaitable<bool> deployment::write(boost::beast::tcp_stream& connection,
+                                        const direct::http_request& message, milliseconds time)
+{
+    if (time <= milliseconds{0}) {
+        const auto [failed, sent] = co_await http::async_write(connection, message, no_throw);
+        co_return !failed;
+    }
+    http::request_serializer<http::string_body> head{message};
+    const auto [unsent, count] = co_await http::async_write_header(connection, head, no_throw);
+    const auto& body = message.body();
+    const auto begun = monotonic_time::clock::now();
+    bool open = !unsent;
+    for (std::size_t i = 0; i < chunk_count && open; ++i) {
+        const auto first = body.size() * i / chunk_count;
+        const auto size = body.size() * (i + 1) / chunk_count - first;
+        const auto [failed, sent] = co_await asio::async_write(
+            connection, http::make_chunk(asio::buffer(body.data() + first, size)), no_throw);
+        open = !failed;
+        const auto due = begun + time * static_cast<std::int64_t>(i + 1) / chunk_count;
+        const auto left =
+            std::chrono::duration_cast<milliseconds>(due - monotonic_time::clock::now());
+        co_await direct::sleep_for(this->io, std::max(left, milliseconds{0}));
+    }
+    if (open) {
+        const auto [failed, sent] =
+            co_await asio::async_write(connection, http::make_chunk_last(), no_throw);
+        open = !failed;
+    }
+    co_return open;
+}
+
 asio::awaitable<call_result> deployment::send(boost::beast::tcp_stream& connection, const host& to,
                                               call what, bool kept_connection)
 {
@@ -207,12 +241,9 @@
     if (what.key) {
         message.set(name::key, std::to_string(*what.key));
     }
-    if (what.header_padding > 0) {
-        message.set(http::field::cookie, "session=" + std::string(what.header_padding, 'c'));
-    }
     message.keep_alive(true);
     message.prepare_payload();
-    if (what.chunked) {
+    if (what.send_time > milliseconds{0}) {
         message.chunked(true);
     }
     auto& state = this->calls[what.id];
@@ -224,8 +255,7 @@
                    std::to_string(message.body().size()));
     connection.expires_after(what.time_limit + answer_margin);
     call_result out;
-    const auto [unsent, sent] = co_await http::async_write(connection, message, no_throw);
-    if (!unsent) {
+    if (co_await this->write(connection, message, what.send_time)) {
         boost::beast::flat_buffer buffer;
         http::response_parser<http::string_body> parser;
         const auto [failed, count] =
--- a/review/standin/deployment.hh
+++ b/review/standin/deployment.hh
@@ -32,8 +32,8 @@
     bool idempotent = true;
     std::optional<std::uint32_t> key;
     std::string body;
-    bool chunked = false;
-    std::size_t header_padding = 0; ///< bytes of a further header field
+    /// If positive, the body is sent in chunks, evenly over this time.
+    milliseconds send_time{0};
     milliseconds time_limit{2500};
 };
 
@@ -43,7 +43,6 @@
     bool idempotent = true;
     bool kept_connection = false; ///< an earlier request of the connection was answered
     bool arrived = false;         ///< at a worker
-    std::uint32_t runs = 0;
     bool answered = false;
     unsigned status = 0;
     monotonic_time sent_at{};
@@ -89,6 +88,9 @@
 
 private:
     void remove_item(const std::string& key);
+    /// Returns whether the request was sent.
+    boost::asio::awaitable<bool> write(boost::beast::tcp_stream& connection,
+                                       const direct::http_request& message, milliseconds time);
 
     std::filesystem::path program;
     std::filesystem::path folder;
--- a/review/standin/host.cc
+++ b/review/standin/host.cc
@@ -98,7 +98,6 @@
         this->process = 0;
         throw std::runtime_error{"cannot start " + program_text};
     }
-    this->ended.clear();
 }
 
 void host::signal(int number)
@@ -113,8 +112,6 @@
     int status = 0;
     if (this->process != 0 && ::waitpid(this->process, &status, WNOHANG) == this->process) {
         this->process = 0;
-        this->ended = WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
-                                          : "exit code " + std::to_string(WEXITSTATUS(status));
     }
     return this->process != 0;
 }
@@ -185,9 +182,4 @@
     return this->peer;
 }
 
-const std::string& host::ending() const
-{
-    return this->ended;
-}
-
 } // namespace figreach::review
--- a/review/standin/host.hh
+++ b/review/standin/host.hh
@@ -31,8 +31,6 @@
     [[nodiscard]] const std::string& caller_address() const;
     [[nodiscard]] const std::string& admin_address() const;
     [[nodiscard]] const std::string& peer_address() const;
-    /// How the process ended; empty if it has not.
-    [[nodiscard]] const std::string& ending() const;
 
 private:
     std::string own_name;
@@ -42,7 +40,6 @@
     std::string admin;
     std::string peer;
     pid_t process = 0; ///< 0 if it does not run
-    std::string ended;
 };
 
 } // namespace figreach::review
