A host that takes over a term no longer frees it while it leads

Callers saw nothing yet: the fault was found by former_leader_test, which lets a host run an accepted term. Cause: co_await run_term(std::exchange(...)) passes a temporary, which g++ 12 destroys twice, so that the last reference of the term went away while manage_keys used it.

--- a/src/direct/runtime/leadership.cpp
+++ b/src/direct/runtime/leadership.cpp
@@ -98,7 +98,8 @@
 {
     while (!this->resigning) {
         if (this->accepted_term) {
-            co_await this->run_term(std::exchange(this->accepted_term, nullptr));
+            const auto accepted = std::exchange(this->accepted_term, nullptr);
+            co_await this->run_term(accepted);
             continue;
         }
         if (!this->state.cluster.is_complete() || this->state.cluster.has_leader() ||
