--- a/src/direct/runtime/leadership_keys.cpp
+++ b/src/direct/runtime/leadership_keys.cpp
@@ -209,8 +209,9 @@
                                                    call_connection::own);
     }
     else {
-        result = co_await this->grants.call(action.address, std::move(request), deadline,
-                                            [own] { return own->lease_until; });
+        const order_client::lease_end lease_until = [own] { return own->lease_until; };
+        result =
+            co_await this->grants.call(action.address, std::move(request), deadline, lease_until);
     }
     --own->pending_calls;
     this->state.path.on_finished();
--- a/src/direct/runtime/order_client.cpp
+++ b/src/direct/runtime/order_client.cpp
@@ -53,7 +53,7 @@
             co_return call_failure::not_sent;
         }
         if (connection->connected_at > lease_until()) {
-            this->pool.give_back(address, std::move(connection));
+            this->pool.give_back(address, std::exchange(connection, nullptr));
         }
     }
     if (time_with_suspension() > lease_until()) {
--- a/src/runtime/connection_pool.cpp
+++ b/src/runtime/connection_pool.cpp
@@ -119,10 +119,11 @@
 connection_pool::try_take(const std::string& address, monotonic_time deadline,
                           const std::string& request_id)
 {
-    auto reused = this->take_idle(address, [&request_id](const upstream_connection& one) {
-        const auto& failed = one.failed_ids;
-        return std::find(failed.begin(), failed.end(), request_id) == failed.end();
+    std::erase_if(this->idle[address], [&request_id](const auto& one) {
+        const auto& failed = one->failed_ids;
+        return std::find(failed.begin(), failed.end(), request_id) != failed.end();
     });
+    auto reused = this->take_idle(address, [](const auto&) { return true; });
     if (reused) {
         co_return reused;
     }
--- a/test/direct/restored_store_test.cpp
+++ b/test/direct/restored_store_test.cpp
@@ -33,7 +33,7 @@
 TEST(restored_store_test, the_simulation_detects_leaders_that_mistake_the_era)
 {
     struct broken_row {
-        const char* name;
+        const char* name = "";
         simulation_settings settings;
         std::uint64_t first_seed = 1;
     };
