--- a/include/figreach/direct/key_grant_manager.h
+++ b/include/figreach/direct/key_grant_manager.h
@@ -152,6 +152,7 @@
     [[nodiscard]] bool all_settled(const key_span& keys) const;
     [[nodiscard]] milliseconds hold_for_move(const range_state& state, monotonic_time now) const;
     [[nodiscard]] bool is_unresponsive(const backend_server_id& id) const;
+    [[nodiscard]] bool shows_other_server(const pending_call& call, order_outcome outcome) const;
     [[nodiscard]] bool is_replaced(const backend_server_id& id, std::uint64_t lifetime) const;
     [[nodiscard]] bool has_ended(const key_range& range, const key_server* owner,
                                  monotonic_time now) const;
@@ -182,6 +183,8 @@
     std::map<backend_server_id, server_state> server_states;
     /// Lifetimes of servers whose address another server answers at.
     std::map<backend_server_id, std::uint64_t> replaced;
+    /// Lifetimes of servers whose address another server has registered.
+    std::map<backend_server_id, std::uint64_t> claimed;
     std::map<std::uint64_t, pending_call> calls;
     std::set<std::uint64_t> in_flight_calls; ///< in-flight grants of all ranges
     std::uint64_t next_call = 1;
--- a/include/figreach/direct/key_plan.h
+++ b/include/figreach/direct/key_plan.h
@@ -18,7 +18,8 @@
     std::string address;
     server_queue queue;
     bool takes_keys = true; ///< if false, its keys move to other servers
-    bool ended = false;     ///< known to have ended, so it holds no keys
+    /// Another server has registered at its address later. It has ended unless it answers there.
+    bool address_claimed = false;
 };
 
 struct key_plan_settings {
--- a/include/figreach/direct/server_directory.h
+++ b/include/figreach/direct/server_directory.h
@@ -32,7 +32,8 @@
     bool said_leaving = false; ///< in an answer; no entry of the same lifetime takes that back
     std::optional<monotonic_time> ended_at;      ///< its entry ended
     std::optional<monotonic_time> missing_since; ///< its entry may have lapsed and come back
-    bool address_reused = false; ///< it has ended, since a later server has its address
+    /// A later server has registered its address, and it has not reported since.
+    bool address_claimed = false;
 };
 
 /// Effect of one entry on the directory.
--- a/src/direct/cluster_state.cpp
+++ b/src/direct/cluster_state.cpp
@@ -140,7 +140,7 @@
 }
 
 void cluster_state::apply_update(const configuration_update& update, std::vector<state_change>& out,
-                                 monotonic_time)
+                                 monotonic_time now)
 {
     const auto present = this->current_routes ? this->current_routes->configuration().version : 0;
     const bool newer = !this->current_routes || update.value.version > present;
@@ -159,6 +159,22 @@
 
 void cluster_state::apply_update(const server_update& update, std::vector<state_change>& out,
                                  monotonic_time now)
+        this->apply_set_aside(out, now);
+    }
+}
+
+bool cluster_state::names_server(const server_entry& entry) const
+{
+    const auto* known = this->directory.find(entry.id);
+    const bool is_known = known != nullptr && known->entry.service == entry.service;
+    return is_known || (this->current_routes &&
+                        this->current_routes->configuration().services.contains(entry.service));
+}
+
+void cluster_state::apply_set_aside(std::vector<state_change>& out, monotonic_time now)
+{
+    for (const auto& [id, update] : std::exchange(this->set_aside, {})) {
+        this->apply_update(update, out, now);
 {
     std::erase(this->ended, update.entry.id);
     const auto change = this->directory.apply(update.entry, now);
@@ -166,6 +182,17 @@
         return;
     }
     out.push_back({.event = name_of(change),
+    if (!this->names_server(update.entry)) {
+        const bool is_new = this->set_aside.insert_or_assign(update.entry.id, update).second;
+        if (is_new && this->current_routes) {
+            out.push_back({.event = "server_of_unknown_service",
+                           .fields = {{"server", update.entry.id.value},
+                                      {"service", update.entry.service.value},
+                                      {"address", update.entry.address}}});
+        }
+        return;
+    }
+    this->set_aside.erase(update.entry.id);
                    .fields = {{"server", update.entry.id.value},
                               {"lifetime", std::to_string(update.entry.lifetime)},
                               {"report", std::to_string(update.entry.report)},
@@ -182,6 +209,7 @@
         out.push_back({.event = "server_entry_ended", .fields = {{"server", update.id.value}}});
     }
 }
+    this->set_aside.erase(update.id);
 
 void cluster_state::apply_update(const domain_update& update, std::vector<state_change>& out,
                                  monotonic_time)
@@ -300,6 +328,8 @@
                 this->apply_update(server_removal{id}, out, now);
             }
         }
+        std::erase_if(this->set_aside,
+                      [&servers](const auto& item) { return !servers.contains(item.first); });
     }
     if (part == store_part::operators) {
         const auto before = this->domains_out;
--- a/src/direct/key_grant_manager.cpp
+++ b/src/direct/key_grant_manager.cpp
@@ -112,6 +112,12 @@
                                                  const observed_loads& loads, monotonic_time now)
 {
     grant_manager_actions out;
+    this->claimed.clear();
+    for (const auto& one : servers) {
+        if (one.address_claimed) {
+            this->claimed[one.id] = one.lifetime;
+        }
+    }
     for (const auto& range : this->current.ranges) {
         this->send_due_order(range, this->states[range.keys.first], servers, out, now);
     }
@@ -143,9 +149,6 @@
     if (owner == nullptr || is_outdated(*owner, range)) {
         return false;
     }
-    if (owner->ended) {
-        return true;
-    }
     const auto& state = this->states.at(range.keys.first);
     return has_restarted(*owner, range) && this->is_settled(range) &&
            now >= state.latest_hold_end();
@@ -320,7 +323,7 @@
     this->calls.erase(found);
     this->update_server_state(pending, answer, now);
     this->finish_in_flight(call, pending, answer.outcome, now);
-    if (answer.outcome == order_outcome::other_server) {
+    if (this->shows_other_server(pending, answer.outcome)) {
         this->replaced[pending.server] = pending.lifetime;
     }
     const auto state = this->states.find(pending.first);
@@ -334,6 +337,17 @@
     }
 }
 
+/// Whether the answer proves that the process at the address is not the server that was called. A
+/// server that holds no keys rejects orders; alone that is no proof.
+bool key_grant_manager::shows_other_server(const pending_call& call, order_outcome outcome) const
+{
+    if (outcome == order_outcome::rejected) {
+        const auto found = this->claimed.find(call.server);
+        return found != this->claimed.end() && found->second == call.lifetime;
+    }
+    return outcome == order_outcome::other_server;
+}
+
 /// Responsiveness is tracked per backend server, not per range.
 void key_grant_manager::update_server_state(const pending_call& call, const order_answer& answer,
                                             monotonic_time now)
@@ -426,7 +440,7 @@
     for (auto& one : servers) {
         const auto found = this->server_states.find(one.id);
         const bool avoided = found != this->server_states.end() && now < found->second.avoid_until;
-        const bool ended = one.ended || this->is_replaced(one.id, one.lifetime);
+        const bool ended = one.address_claimed || this->is_replaced(one.id, one.lifetime);
         one.takes_keys = one.takes_keys && !avoided && !ended;
     }
     return servers;
--- a/src/direct/runtime/leadership_keys.cpp
+++ b/src/direct/runtime/leadership_keys.cpp
@@ -166,7 +166,7 @@
                                      .slots = static_cast<double>(std::max(record.entry.slots, 1U)),
                                      .max_rate = this->state.rate_limits.rate_of(id)},
                            .takes_keys = this->state.cluster.takes_new_work(record),
-                           .ended = record.address_reused});
+                           .address_claimed = record.address_claimed});
         }
     }
     return out;
--- a/src/direct/server_directory.cpp
+++ b/src/direct/server_directory.cpp
@@ -44,6 +44,7 @@
         record.cold_until = now;
     }
     record.ended_at.reset();
+    record.address_claimed = false;
     if (!entry.leaving && !record.said_leaving) {
         record.leaving_since.reset();
     }
@@ -103,7 +104,7 @@
 {
     for (auto& [id, other] : this->known) {
         if (other.entry.address == entry.address && other.entry.lifetime < entry.lifetime) {
-            other.address_reused = true;
+            other.address_claimed = true;
             this->end(other, now);
         }
     }
