--- a/src/direct/runtime/leadership.cpp
+++ b/src/direct/runtime/leadership.cpp
@@ -158,10 +158,12 @@
     for (const auto& host : this->state.cluster.hosts()) {
         before += rank(host) > own ? 1 : 0;
     }
-    // The leader of an earlier era goes on without a gap if it is the first to claim.
-    const bool leader_may_continue = !term.host.empty() && !term.resigned &&
+    // The leader of an earlier era goes on without a gap if it is the first to claim. The store may
+    // have lost its term before this host read it.
+    const auto era = this->state.store.era();
+    const bool leader_may_continue = era > first_era && !term.resigned &&
                                      term.host != this->state.settings.name &&
-                                     term.term < first_number_of(this->state.store.era());
+                                     term.term < first_number_of(era);
     return std::min(campaign_step * before, max_campaign_delay) +
            (leader_may_continue ? new_era_claim_delay : milliseconds{0});
 }
--- a/src/direct/takeover.cpp
+++ b/src/direct/takeover.cpp
@@ -33,7 +33,8 @@
                                 const grant_manager_settings& settings)
 {
     const auto& stored = former.stored;
-    if (stored.host.empty() && former.known_term == 0) {
+    // A store that came back from a copy may have lost all terms.
+    if (stored.host.empty() && former.known_term == 0 && era == first_era) {
         return milliseconds{0};
     }
     const auto last_grant = max_order_duration(settings, std::max(stored.hold, settings.hold));
--- a/test/direct/takeover_test.cpp
+++ b/test/direct/takeover_test.cpp
@@ -54,6 +54,11 @@
      {.stored = {.term = 3, .host = {"h2"}, .resigned = true}, .known_term = 4},
      last_grant + outage_authority},
     {"the store has lost all terms", {.known_term = 4}, last_grant + outage_authority},
+    // Guards against two owners: a host that starts into a restored store knows no term either.
+    {"the store has lost all terms and this process has just started",
+     {},
+     last_grant + outage_authority,
+     second_era},
 };
 
 struct number_row {
