--- a/include/figreach/direct/cluster_state.h
+++ b/include/figreach/direct/cluster_state.h
@@ -108,6 +108,8 @@
     /// Handles the return of the store from an older copy. What servers and operators wrote since
     /// is missing until they have written it again.
     void on_store_restored(monotonic_time now);
+    /// Another host has seen an outage of the store, after which missing entries may come back.
+    void expect_return_within(milliseconds left, monotonic_time now);
     [[nodiscard]] std::vector<state_change> on_tick(monotonic_time now);
 
     /// Returns null if no configuration is known.
--- a/include/figreach/direct/follow.h
+++ b/include/figreach/direct/follow.h
@@ -56,6 +56,8 @@
     std::vector<crash_report> crashes;          ///< known to any host
     store_era era{};                            ///< the latest that the leader knows
     std::uint64_t load_cursor = 0;              ///< `server_loads` holds all news up to here
+    /// For how long missing entries may still come back after an outage of the store.
+    milliseconds return_left{0};
 };
 
 /// The leader as known to a host that is not the leader itself.
--- a/include/figreach/direct/server_directory.h
+++ b/include/figreach/direct/server_directory.h
@@ -19,9 +19,6 @@
     /// How long a record is kept after its entry ended, so that its keys can still be handed over.
     /// Longer than the platform lets a leaving server run.
     milliseconds forget_after{15000};
-    /// Percentage of all servers from which simultaneously lost entries count as lapsed.
-    std::uint32_t mass_loss_percent = 25;
-    std::size_t min_mass_loss = 3;
 };
 
 /// State of one backend server according to service discovery.
@@ -60,6 +57,10 @@
     void on_store_reconnected(milliseconds away, monotonic_time now);
     /// Begins a grace period in which missing entries may come back.
     void expect_return(monotonic_time now);
+    /// As expect_return(), for a period of which another host says that it lasts that much longer.
+    void expect_return_within(milliseconds left, monotonic_time now);
+    /// What is left of the grace period; zero if there is none.
+    [[nodiscard]] milliseconds return_time_left(monotonic_time now) const;
     /// Ends entries whose grace period has passed and drops old records.
     void on_tick(monotonic_time now);
 
--- a/src/direct/cluster_state.cpp
+++ b/src/direct/cluster_state.cpp
@@ -123,6 +123,11 @@
     this->restore_grace_until = now + this->return_grace;
 }
 
+void cluster_state::expect_return_within(milliseconds left, monotonic_time now)
+{
+    this->directory.expect_return_within(left, now);
+}
+
 std::vector<state_change> cluster_state::on_tick(monotonic_time now)
 {
     std::vector<state_change> out;
--- a/src/direct/follow.cpp
+++ b/src/direct/follow.cpp
@@ -216,6 +216,7 @@
 {
     wire::FollowAnswer out;
     out.set_era(to_number(answer.era));
+    out.set_return_left_ms(static_cast<std::uint32_t>(answer.return_left.count()));
     out.set_load_cursor(answer.load_cursor);
     for (const auto& part : answer.parts) {
         auto* item = out.add_parts();
@@ -358,7 +359,8 @@
                       .leaving = to_leaving(in->leaving()),
                       .crashes = to_crashes(in->crashes()),
                       .era = store_era{in->era()},
-                      .load_cursor = in->load_cursor()};
+                      .load_cursor = in->load_cursor(),
+                      .return_left = milliseconds{in->return_left_ms()}};
     for (const auto& one : in->parts()) {
         const auto part = part_of(one.part());
         if (!part) {
--- a/src/direct/runtime/store_feed.cpp
+++ b/src/direct/runtime/store_feed.cpp
@@ -716,6 +716,7 @@
 void store_feed::apply_answer(follow_answer answer)
 {
     this->state.store.observe_era(answer.era);
+    this->state.cluster.expect_return_within(answer.return_left, monotonic_time::clock::now());
     for (auto& part : answer.parts) {
         this->apply(part.part, std::move(part.changes));
     }
@@ -815,6 +816,10 @@
         const bool changed = out && std::any_of(out->parts.begin(), out->parts.end(), has_changes);
         if (!out || changed || monotonic_time::clock::now() >= until) {
             this->record_poll_outcome(request, out.has_value());
+            if (out) {
+                out->return_left =
+                    this->state.cluster.servers().return_time_left(monotonic_time::clock::now());
+            }
             co_return out;
         }
         co_await this->state.cluster_changed.wait(until);
--- a/src/direct/server_directory.cpp
+++ b/src/direct/server_directory.cpp
@@ -112,37 +112,19 @@
 
 void server_directory::remove(const std::vector<backend_server_id>& ended, monotonic_time now)
 {
-    std::vector<server_record*> lost;
-    std::size_t present = 0;
-    for (auto& [id, record] : this->known) {
-        present += record.leaving_since ? 0U : 1U;
-    }
     for (const auto& id : ended) {
         const auto found = this->known.find(id);
         if (found == this->known.end()) {
             continue;
         }
         auto& record = found->second;
-        if (!record.leaving_since) {
-            lost.push_back(&record);
+        if (!record.leaving_since && now < this->grace_until) {
+            record.missing_since = record.missing_since.value_or(now);
         }
         else {
             this->end(record, now);
         }
     }
-    constexpr std::size_t whole = 100;
-    if (lost.size() >= this->settings.min_mass_loss &&
-        lost.size() * whole >= present * this->settings.mass_loss_percent) {
-        this->expect_return(now);
-    }
-    for (auto* record : lost) {
-        if (now < this->grace_until) {
-            record->missing_since = record->missing_since.value_or(now);
-        }
-        else {
-            this->end(*record, now);
-        }
-    }
 }
 
 void server_directory::on_store_reconnected(milliseconds away, monotonic_time now)
@@ -158,6 +140,17 @@
     this->grace_until = std::max(this->grace_until, now + this->settings.return_grace);
 }
 
+void server_directory::expect_return_within(milliseconds left, monotonic_time now)
+{
+    this->grace_until =
+        std::max(this->grace_until, now + std::min(left, this->settings.return_grace));
+}
+
+milliseconds server_directory::return_time_left(monotonic_time now) const
+{
+    return std::max(std::chrono::floor<milliseconds>(this->grace_until - now), milliseconds{0});
+}
+
 void server_directory::on_tick(monotonic_time now)
 {
     for (auto& [id, record] : this->known) {
--- a/test/direct/follow_test.cpp
+++ b/test/direct/follow_test.cpp
@@ -263,8 +263,9 @@
         {.server = {"b"}, .lifetime = 0, .age = milliseconds{0}}};
     const follow_request request{.host = {"h"}, .leaving = leaving};
     CHECK_TRUE(decode_follow_request(encode(request))->leaving == leaving);
-    const follow_answer answer{.leaving = leaving};
+    const follow_answer answer{.leaving = leaving, .return_left = milliseconds{1700}};
     CHECK_TRUE(decode_follow_answer(encode(answer))->leaving == leaving);
+    CHECK_EQUAL(1700, decode_follow_answer(encode(answer))->return_left.count());
 }
 
 TEST(follow_test, reads_hints_and_offers_that_it_wrote)
--- a/test/direct/server_directory_test.cpp
+++ b/test/direct/server_directory_test.cpp
@@ -103,7 +103,10 @@
     {"one ends right after the store's return", 10, 1, milliseconds{2000}, false},
     {"one ends right after a call to the store that failed", 10, 1, milliseconds{400}, true},
     {"two of four end", 4, 2, milliseconds{0}, true},
-    {"a quarter ends at once", 12, 3, milliseconds{0}, false},
+    {"three of twelve end at once", 12, 3, milliseconds{0}, true},
+    {"half end at once", 12, 6, milliseconds{0}, true},
+    {"all but one end at once", 12, 11, milliseconds{0}, true},
+    {"three of twelve end right after the store's return", 12, 3, milliseconds{2000}, false},
     {"a few of many end", 40, 5, milliseconds{0}, true},
 };
 
@@ -193,6 +196,8 @@
     }
 }
 
+/// Guards against requests to servers that are gone: entries that lapse together while the store is
+/// up are no sign of an outage.
 TEST(server_directory_test, waits_for_entries_that_may_have_lapsed)
 {
     for (const auto& row : loss_rows) {
