--- a/src/direct/runtime/http_client.cpp
+++ b/src/direct/runtime/http_client.cpp
@@ -17,8 +17,6 @@
 namespace {
 
 constexpr std::size_t max_idle_per_address = 4;
-/// A store response contains up to 1 MB of items, encoded in base64.
-constexpr std::uint64_t max_answer_bytes = 8 * 1024 * 1024;
 constexpr unsigned http_1_1 = 11;
 constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 
@@ -32,7 +30,8 @@
 }
 
 asio::awaitable<http_result> call_on(upstream_connection& connection, std::string address,
-                                     http_request request, monotonic_time deadline, bool keep_alive)
+                                     http_request request, monotonic_time deadline, bool keep_alive,
+                                     std::uint64_t max_answer_bytes)
 {
     request.set(http::field::host, address);
     request.keep_alive(keep_alive);
@@ -61,7 +60,10 @@
     return answer != nullptr && answer->keep_alive() && answer->result() == http::status::ok;
 }
 
-http_client::http_client(asio::io_context& io) : pool{io, max_idle_per_address} {}
+http_client::http_client(asio::io_context& io, std::uint64_t max_answer_bytes_)
+    : pool{io, max_idle_per_address}, max_answer_bytes{max_answer_bytes_}
+{
+}
 
 asio::awaitable<http_result> http_client::call(std::string address, http_request request,
                                                monotonic_time deadline, call_connection use)
@@ -78,7 +80,8 @@
     if (!connection || monotonic_time::clock::now() >= deadline) {
         co_return call_failure::not_sent;
     }
-    auto result = co_await call_on(*connection, address, std::move(request), deadline, keep);
+    auto result = co_await call_on(*connection, address, std::move(request), deadline, keep,
+                                   this->max_answer_bytes);
     if (keep && leaves_reusable(result)) {
         this->pool.give_back(address, std::move(connection));
     }
--- a/src/direct/runtime/leadership.cpp
+++ b/src/direct/runtime/leadership.cpp
@@ -47,7 +47,9 @@
 } // namespace
 
 leadership::leadership(host_context& state_)
-    : state{state_}, control_calls{state_.io}, grants{state_.io, state_.server_processes}
+    : state{state_},
+      control_calls{state_.io, max_order_answer_bytes},
+      grants{state_.io, state_.server_processes}
 {
 }
 
--- a/src/direct/runtime/order_client.cpp
+++ b/src/direct/runtime/order_client.cpp
@@ -71,7 +71,8 @@
         co_return call_failure::not_sent;
     }
     const auto sent_at = time_with_suspension();
-    auto result = co_await call_on(*connection, address, std::move(request), deadline, true);
+    auto result = co_await call_on(*connection, address, std::move(request), deadline, true,
+                                   max_order_answer_bytes);
     if (std::holds_alternative<http_response>(result)) {
         this->processes.record_answer(address, connection->connected_at, sent_at);
     }
--- a/test/direct/endless_answer_test.cpp
+++ b/test/direct/endless_answer_test.cpp
@@ -1,3 +1,4 @@
+#include "figreach/direct/runtime/order_client.h"
 #include "path_fixture.h"
 
 using namespace figreach;
@@ -61,3 +62,33 @@
         CHECK_TRUE_TEXT(sent < max_bytes, row.name);
     }
 }
+
+/// Guards against the same with the answers to orders, of which a leader has many under way.
+TEST(endless_answer_test, an_answer_to_an_order_without_end_is_cut_off)
+{
+    std::atomic<std::size_t> sent{0};
+    fake_upstream server{[&](tcp::socket& socket) {
+        boost::system::error_code failed;
+        asio::streambuf buffer;
+        asio::read_until(socket, buffer, "\r\n\r\n", failed);
+        asio::write(socket, asio::buffer("HTTP/1.1 200 OK\r\n\r\n", 19), failed);
+        const std::string more(1000, 'a');
+        while (!failed && sent < max_bytes) {
+            sent += asio::write(socket, asio::buffer(more), failed);
+        }
+    }};
+    asio::io_context io;
+    process_continuity processes;
+    order_client client{io, processes};
+    std::optional<http_result> result;
+    const auto call = [&]() -> asio::awaitable<void> {
+        const auto limit = monotonic_time::clock::now() + seconds{20};
+        result = co_await client.call(
+            server.address(), make_request(boost::beast::http::verb::post, "/grant", "keys"), limit,
+            [] { return monotonic_time::max(); });
+    };
+    asio::co_spawn(io, call, asio::detached);
+    io.run();
+    CHECK_TRUE(std::get<call_failure>(*result) == call_failure::no_answer);
+    CHECK_TRUE(sent < max_bytes);
+}
