--- a/include/figreach/direct/runtime/caller_connection.h
+++ b/include/figreach/direct/runtime/caller_connection.h
@@ -14,6 +14,7 @@
 
 #include "figreach/direct/request_pipeline.h"
 #include "figreach/direct/route_configuration.h"
+#include "figreach/direct/runtime/counted_body.h"
 #include "figreach/direct/runtime/host_context.h"
 #include "figreach/direct/runtime/request_runner.h"
 #include "figreach/direct/runtime/store_feed.h"
@@ -42,7 +43,8 @@
 
     boost::asio::awaitable<bool> read_one();
     boost::asio::awaitable<bool> wait_for_bytes();
-    boost::asio::awaitable<bool> read_body(request_parser& parser, monotonic_time until);
+    boost::asio::awaitable<bool> read_body(request_parser& parser, counted_body& counted,
+                                           monotonic_time until);
     boost::asio::awaitable<void> serve(std::shared_ptr<exchange_state> one,
                                        request_pipeline::number number);
     boost::asio::awaitable<void> write_answers();
--- a/src/direct/runtime/caller_connection.cpp
+++ b/src/direct/runtime/caller_connection.cpp
@@ -35,10 +35,8 @@
 constexpr milliseconds write_timeout{5000};
 constexpr milliseconds linger_timeout{1000};
 constexpr std::size_t linger_chunk_bytes = 16 * 1024;
-/// Limits on bodies buffered in memory, for one request and for all concurrent requests. The total
-/// counts only bodies with a Content-Length.
+/// Limit on the body of one request.
 constexpr std::uint64_t max_body_bytes = 32 * 1024 * 1024;
-constexpr std::uint64_t max_buffered_bytes = 96 * 1024 * 1024;
 constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 
 std::string_view view_of(beast::string_view text)
@@ -73,13 +71,13 @@
 
 /// A request that has been read, until its answer has been written.
 struct caller_connection::exchange_state {
-    exchange_state(host_context& state, std::uint64_t body_bytes)
-        : in_flight{state.in_flight}, buffered{state.buffered_bytes, body_bytes}
+    explicit exchange_state(host_context& state)
+        : in_flight{state.in_flight}, body{state.buffered_bytes}
     {
     }
 
     scoped_count<std::uint32_t> in_flight;
-    scoped_count<std::uint64_t, std::uint64_t> buffered;
+    counted_body body;
     caller_request request;
     bool keep = false;            ///< the caller wants to keep the connection
     http_response answer;         ///< set when the exchange has ended
@@ -220,14 +218,15 @@
         this->refuse(error_kind::malformed_request);
         co_return false;
     }
-    const auto length = parser.content_length().value_or(0);
-    if (this->state.buffered_bytes + length > max_buffered_bytes) {
+    const auto one = std::make_shared<exchange_state>(this->state);
+    one->body.grow_to(parser.content_length().value_or(0));
+    if (one->body.all_bytes() > max_buffered_request_bytes) {
         this->refuse(error_kind::overloaded);
         co_return false;
     }
-    const auto one = std::make_shared<exchange_state>(this->state, length);
     constexpr milliseconds body_time{10000};
-    if (!co_await this->read_body(parser, arrival + head.time_limit.value_or(body_time))) {
+    const auto body_until = arrival + head.time_limit.value_or(body_time);
+    if (!co_await this->read_body(parser, one->body, body_until)) {
         co_return false;
     }
     const bool keep = parser.get().keep_alive();
@@ -242,7 +241,8 @@
 }
 
 /// Reads the rest of the body. Bodies are not read ahead of the answers before them.
-asio::awaitable<bool> caller_connection::read_body(request_parser& parser, monotonic_time until)
+asio::awaitable<bool> caller_connection::read_body(request_parser& parser, counted_body& counted,
+                                                   monotonic_time until)
 {
     if (parser.is_done()) {
         co_return true;
@@ -261,9 +261,12 @@
             co_return false;
         }
     }
-    const auto [failed, count] =
-        co_await http::async_read(this->stream, this->buffer, parser, no_throw);
-    if (failed && is_protocol_error(failed)) {
+    const auto failed = co_await read_counted(this->stream, this->buffer, parser, counted,
+                                              max_buffered_request_bytes);
+    if (failed == http::error::buffer_overflow) {
+        this->refuse(error_kind::overloaded);
+    }
+    else if (failed && is_protocol_error(failed)) {
         this->refuse(kind_of_parse_failure(failed));
     }
     co_return !failed;
@@ -272,7 +275,7 @@
 /// Answers in turn with a refusal that ends the connection.
 void caller_connection::refuse(error_kind kind)
 {
-    const auto one = std::make_shared<exchange_state>(this->state, 0);
+    const auto one = std::make_shared<exchange_state>(this->state);
     one->answer = platform::encode_refusal(kind, milliseconds{0});
     this->exchanges.push_back(one);
     (void)this->pipeline.add_answered();
--- a/src/direct/runtime/exchange.cpp
+++ b/src/direct/runtime/exchange.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "figreach/direct/runtime/counted_body.h"
 #include "figreach/runtime/relay.h"
 
 namespace figreach::direct {
@@ -96,28 +97,6 @@
     return head.encoded ? "encoded body" : "";
 }
 
-/// Reads a response. Its body counts in `buffered_bytes` meanwhile.
-asio::awaitable<beast::error_code> read_response(upstream_connection& upstream,
-                                                 http::response_parser<http::string_body>& parser,
-                                                 std::uint64_t& buffered_bytes)
-{
-    std::uint64_t counted = 0;
-    beast::error_code failed;
-    while (!failed && !parser.is_done()) {
-        const auto [read_error, count] =
-            co_await http::async_read_some(upstream.stream, upstream.buffer, parser, no_throw);
-        const auto size = parser.get().body().size();
-        buffered_bytes += size - counted;
-        counted = size;
-        failed = read_error;
-        if (!failed && buffered_bytes > max_buffered_bytes) {
-            failed = http::error::body_limit;
-        }
-    }
-    buffered_bytes -= counted;
-    co_return failed;
-}
-
 } // namespace
 
 asio::awaitable<exchange_result> exchange(shared_connection connection,
@@ -138,7 +117,9 @@
         parser.header_limit(max_header_bytes);
         parser.body_limit(max_answer_bytes);
         parser.skip(request->method() == http::verb::head);
-        const auto failed = co_await read_response(upstream, parser, buffered_bytes);
+        counted_body counted{buffered_bytes};
+        const auto failed = co_await read_counted(upstream.stream, upstream.buffer, parser, counted,
+                                                  max_buffered_bytes);
         if (failed) {
             auto result = result_for_error(upstream, failed, deadline);
             result.head.leaving = leaving;
--- a/src/direct/runtime/peer_server.cpp
+++ b/src/direct/runtime/peer_server.cpp
@@ -12,9 +12,11 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "figreach/direct/runtime/counted_body.h"
 #include "figreach/direct/runtime/forwarding.h"
 #include "figreach/runtime/caller_watch.h"
 #include "figreach/runtime/connection_pool.h"
+#include "figreach/runtime/log.h"
 #include "figreach/runtime/scoped_count.h"
 
 namespace figreach::direct {
@@ -67,10 +69,25 @@
         http::request_parser<http::string_body> parser;
         parser.body_limit(max_body_bytes);
         stream.expires_after(idle_timeout);
-        const auto [failed, count] = co_await http::async_read(stream, buffer, parser, no_throw);
+        const auto [failed, count] =
+            co_await http::async_read_header(stream, buffer, parser, no_throw);
         if (failed) {
             co_return;
         }
+        counted_body counted{this->state.buffered_bytes};
+        counted.grow_to(parser.content_length().value_or(0));
+        boost::beast::error_code unread = http::error::buffer_overflow;
+        if (counted.all_bytes() <= max_buffered_request_bytes) {
+            unread =
+                co_await read_counted(stream, buffer, parser, counted, max_buffered_request_bytes);
+        }
+        if (unread) {
+            // The other host finds the connection closed, which promises nothing.
+            log_event(log_level::warn, "peer_body_unread",
+                      {{"error", unread.message()},
+                       {"buffered_bytes", std::to_string(counted.all_bytes())}});
+            co_return;
+        }
         stream.expires_never();
         auto message = parser.release();
         const auto version = message.version();
