A request that may outlast a stopping host is refused at once

Here admission went on until the end as well: direct_host::stop ended the loop with requests in flight.

--- a/include/figreach/direct/runtime/host_context.h
+++ b/include/figreach/direct/runtime/host_context.h
@@ -112,7 +112,8 @@
     bool store_reachable = true;
     monotonic_time store_unreachable_since{}; ///< start of the first unanswered call
     bool stopping = false;
-    bool leads = false; ///< this host is the leader and assigns keys
+    monotonic_time stop_until = monotonic_time::max(); ///< requests are cut off then
+    bool leads = false;                                ///< this host is the leader and assigns keys
     /// Revisions of key tables that this host has written and not yet seen in its watch.
     std::vector<store_revision> unseen_tables;
     /// Grant calls in progress. While there are any, this host does not tell others that it has
--- a/include/figreach/direct/runtime/request_runner.h
+++ b/include/figreach/direct/runtime/request_runner.h
@@ -58,6 +58,7 @@
     void cancel();
 
 private:
+    [[nodiscard]] bool ends_before_stop() const;
     struct target {
         backend_server_id id;
         std::string address;
--- a/src/direct/runtime/direct_host.cpp
+++ b/src/direct/runtime/direct_host.cpp
@@ -131,6 +131,7 @@
     log_event(log_level::info, "stopping", {{"in_flight", std::to_string(this->state.in_flight)}});
     this->ready = false;
     this->state.stopping = true;
+    this->state.stop_until = until;
     asio::co_spawn(this->io, this->resign(), asio::detached);
     while (monotonic_time::clock::now() < started + rotation_removal_time) {
         co_await sleep_for(this->io, stop_poll_interval);
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -140,6 +140,9 @@
     const auto limit =
         std::min(request.head.time_limit.value_or(this->route->timeout), this->route->timeout);
     this->deadline = request.arrival + limit;
+    if (!this->ends_before_stop()) {
+        co_return host_refusal{.kind = error_kind::host_stopping, .retry_after = {}};
+    }
     const attempt_facts facts{.idempotent = may_repeat(this->route->kind),
                               .divided_by_key = this->service->divided_by_key,
                               .forwarded = request.forwarded.has_value(),
@@ -185,6 +188,19 @@
     }
 }
 
+/// Whether a request that begins now ends before the host does. One that may not be repeated needs
+/// all of its time limit; one that may is expected to take a small multiple of its objective.
+bool request_runner::ends_before_stop() const
+{
+    constexpr int objectives = 2;
+    const auto expected =
+        may_repeat(this->route->kind)
+            ? std::min(this->deadline,
+                       monotonic_time::clock::now() + objectives * this->route->latency_objective)
+            : this->deadline;
+    return expected <= this->state.stop_until;
+}
+
 /// Selects a server and, if one is available, sends the request once.
 asio::awaitable<attempt_event> request_runner::attempt(const caller_request& request)
 {
--- a/test/direct/path_fixture.h
+++ b/test/direct/path_fixture.h
@@ -163,9 +163,12 @@
     }
 
     /// Makes the host behave as during a planned stop.
-    void start_stopping()
+    void start_stopping(milliseconds left = std::chrono::hours{1})
     {
-        asio::post(this->io, [this] { this->state.stopping = true; });
+        asio::post(this->io, [this, left] {
+            this->state.stopping = true;
+            this->state.stop_until = monotonic_time::clock::now() + left;
+        });
     }
 
     /// Makes the host find that connections to several servers have failed for a while.
