--- a/include/figreach/direct/runtime/leadership.h
+++ b/include/figreach/direct/runtime/leadership.h
@@ -15,6 +15,7 @@
 #include "figreach/direct/runtime/http_client.h"
 #include "figreach/direct/runtime/order_client.h"
 #include "figreach/direct/service_time_estimator.h"
+#include "figreach/direct/takeover.h"
 
 namespace figreach::direct {
 
@@ -86,6 +87,8 @@
     make_new_era_claim(std::shared_ptr<term_state> own, store_lease lease);
     [[nodiscard]] leader_term make_term(std::uint64_t term, milliseconds hold) const;
     [[nodiscard]] bool is_own(const leader_term& term) const;
+    /// Whether this process led in the term; false if only its claim took effect.
+    [[nodiscard]] bool has_led(const leader_term& term) const;
     [[nodiscard]] bool is_of_earlier_era(const term_state& own) const;
     /// Upper bound of the time until which earlier leaders have a lease.
     [[nodiscard]] monotonic_time former_leases_end() const;
@@ -124,6 +127,7 @@
     std::shared_ptr<term_state> accepted_term; ///< handed over by another host, not started
     std::optional<leader_hint> successor_hint;
     std::uint64_t handed_over_term = 0; ///< the latest one; another host may lead in it
+    own_claims claims;
     /// Until when grants of leaders before this host's last term may last.
     monotonic_time earlier_orders_end{};
     bool resigning = false;
--- a/include/figreach/direct/takeover.h
+++ b/include/figreach/direct/takeover.h
@@ -40,6 +40,18 @@
     std::uint64_t handed_over_term = 0;
 };
 
+/// What a process knows of its own claims of the lead.
+struct own_claims {
+    std::uint64_t led_term = 0; ///< the latest term in which this process led; 0 if none
+    /// What the latest claim without an answer found in the store.
+    std::optional<leader_term> replaced;
+};
+
+/// Returns the term of the leader before a claim. A term of this process in which it has not led
+/// comes from an earlier claim that took effect without an answer.
+[[nodiscard]] leader_term former_term(const leader_term& stored, bool is_own,
+                                      const own_claims& claims);
+
 /// Returns for how long grants of earlier leaders may last from the moment of a takeover.
 [[nodiscard]] milliseconds former_orders_wait(const predecessor& former, store_era era,
                                               const grant_manager_settings& settings);
--- a/src/direct/runtime/leadership.cpp
+++ b/src/direct/runtime/leadership.cpp
@@ -182,17 +182,22 @@
         co_return nullptr;
     }
     const auto era = opened->era;
-    const auto former = decode_leader_term(item->value).value_or(leader_term{});
-    const auto known = this->state.cluster.term();
+    const auto stored = decode_leader_term(item->value).value_or(leader_term{});
+    const auto former = former_term(stored, this->is_own(stored), this->claims);
+    const auto seen = this->state.cluster.term();
+    const bool is_unled_claim = this->is_own(seen) && !this->has_led(seen);
+    const auto known = is_unled_claim ? former : seen;
     const auto manager_settings = this->current_settings();
     const auto next =
-        this->make_term(next_term(std::max(former.term, known.term), era), manager_settings.hold);
+        this->make_term(next_term(std::max(stored.term, seen.term), era), manager_settings.hold);
     auto claim = make_term_claim(next, *opened, {era, 0}, item->revision);
     const auto written = co_await store.commit(std::move(claim), call_timeout);
     const auto* revision = std::get_if<store_revision>(&written);
     if (revision == nullptr) {
+        this->claims.replaced = former;
         co_return nullptr;
     }
+    this->claims = {.led_term = next.term, .replaced = std::nullopt};
     auto own = std::make_shared<term_state>();
     own->term = next.term;
     own->lease = *opened;
@@ -202,7 +207,7 @@
     own->extend_lease(sent_at);
     const predecessor before{.stored = former,
                              .known_term = known.term,
-                             .was_self = this->is_own(former),
+                             .was_self = this->has_led(former),
                              .handed_over_term = this->handed_over_term};
     own->former_orders_end =
         std::max(time_with_suspension() + former_orders_wait(before, era, manager_settings),
@@ -328,6 +333,11 @@
     return term.host == this->state.settings.name && term.host_lifetime == this->state.lifetime;
 }
 
+bool leadership::has_led(const leader_term& term) const
+{
+    return this->is_own(term) && term.term == this->claims.led_term;
+}
+
 monotonic_time leadership::former_leases_end() const
 {
     // A store that went back has lost leases that last on for their owners. Otherwise a lease is
@@ -370,6 +380,7 @@
             continue;
         }
         own->term = claim->term;
+        this->claims.led_term = claim->term;
         own->lease = *lease;
         own->term_revision = *revision;
         own->extend_lease(sent_at);
--- a/src/direct/takeover.cpp
+++ b/src/direct/takeover.cpp
@@ -29,6 +29,12 @@
     return std::max(latest + 1, first_number_of(era));
 }
 
+leader_term former_term(const leader_term& stored, bool is_own, const own_claims& claims)
+{
+    const bool has_led = stored.term == claims.led_term;
+    return is_own && !has_led && claims.replaced ? *claims.replaced : stored;
+}
+
 milliseconds former_orders_wait(const predecessor& former, store_era era,
                                 const grant_manager_settings& settings)
 {
--- a/test/direct/takeover_test.cpp
+++ b/test/direct/takeover_test.cpp
@@ -92,10 +92,50 @@
     {"no table in a later era", std::nullopt, second_era, false},
 };
 
+struct claim_row {
+    const char* name = "";
+    leader_term stored;
+    bool is_own = false;
+    own_claims claims;
+    std::uint64_t former = 0; ///< number of the term before the claim
+};
+
+const leader_term replaced_term{.term = 3, .host = {"h2"}};
+
+const claim_row claim_rows[] = {
+    {"another host led", {.term = 5, .host = {"h3"}}, false, {}, 5},
+    {"this process led", {.term = 5, .host = {"h1"}}, true, {.led_term = 5}, 5},
+    {"an unanswered claim took effect",
+     {.term = 4, .host = {"h1"}},
+     true,
+     {.led_term = 0, .replaced = replaced_term},
+     3},
+    {"an unanswered claim took effect after a term of this process",
+     {.term = 4, .host = {"h1"}},
+     true,
+     {.led_term = 2, .replaced = replaced_term},
+     3},
+    {"an unanswered claim had no effect",
+     {.term = 4, .host = {"h3"}},
+     false,
+     {.led_term = 2, .replaced = replaced_term},
+     4},
+};
+
 } // namespace
 
 TEST_GROUP(takeover_test){};
 
+/// Guards against two owners: a host that claims the lead twice takes its first claim, whose answer
+/// was lost, for a term in which it led, and waits for no grants of the leader before.
+TEST(takeover_test, a_claim_without_an_answer_is_no_term_that_was_led)
+{
+    for (const auto& row : claim_rows) {
+        CHECK_EQUAL_TEXT(row.former, former_term(row.stored, row.is_own, row.claims).term,
+                         row.name);
+    }
+}
+
 TEST(takeover_test, waits_for_grants_that_earlier_leaders_may_have_given)
 {
     for (const auto& row : wait_rows) {
