--- a/include/figreach/direct/cluster_state.h
+++ b/include/figreach/direct/cluster_state.h
@@ -175,19 +175,19 @@
                       monotonic_time now);
     void apply_update(const ignored_item& update, std::vector<state_change>& out,
                       monotonic_time now);
-    void remove_unlisted(store_part part, const std::vector<item_update>& updates,
-                         std::vector<state_change>& out, monotonic_time now);
     /// Whether an entry names a server of a service of the configuration, or one known already.
     [[nodiscard]] bool names_server(const server_entry& entry) const;
     void apply_set_aside(std::vector<state_change>& out, monotonic_time now);
+    void remove_unlisted(store_part part, const std::vector<item_update>& updates,
+                         std::vector<state_change>& out, monotonic_time now);
 
     server_directory directory;
     milliseconds return_grace;            ///< for what a restored store lacks
     std::vector<backend_server_id> ended; ///< servers removed by the current batch
-    std::shared_ptr<route_table> current_routes;
-    std::map<service_id, key_table_update> tables;
     /// Entries of services that no configuration so far names. They change nothing else.
     std::map<backend_server_id, server_update> set_aside;
+    std::shared_ptr<route_table> current_routes;
+    std::map<service_id, key_table_update> tables;
     std::set<failure_domain_id> domains_out;
     std::set<failure_domain_id> domains_unlisted; ///< missing in a restored store; still out
     monotonic_time restore_grace_until{};
--- a/src/direct/cluster_state.cpp
+++ b/src/direct/cluster_state.cpp
@@ -159,11 +159,6 @@
     if (newer) {
         this->current_routes = std::make_shared<route_table>(
             std::make_shared<const route_configuration>(update.value));
-    }
-}
-
-void cluster_state::apply_update(const server_update& update, std::vector<state_change>& out,
-                                 monotonic_time now)
         this->apply_set_aside(out, now);
     }
 }
@@ -180,13 +175,13 @@
 {
     for (const auto& [id, update] : std::exchange(this->set_aside, {})) {
         this->apply_update(update, out, now);
+    }
+}
+
+void cluster_state::apply_update(const server_update& update, std::vector<state_change>& out,
+                                 monotonic_time now)
 {
     std::erase(this->ended, update.entry.id);
-    const auto change = this->directory.apply(update.entry, now);
-    if (change == directory_change::updated) {
-        return;
-    }
-    out.push_back({.event = name_of(change),
     if (!this->names_server(update.entry)) {
         const bool is_new = this->set_aside.insert_or_assign(update.entry.id, update).second;
         if (is_new && this->current_routes) {
@@ -198,6 +193,11 @@
         return;
     }
     this->set_aside.erase(update.entry.id);
+    const auto change = this->directory.apply(update.entry, now);
+    if (change == directory_change::updated) {
+        return;
+    }
+    out.push_back({.event = name_of(change),
                    .fields = {{"server", update.entry.id.value},
                               {"lifetime", std::to_string(update.entry.lifetime)},
                               {"report", std::to_string(update.entry.report)},
@@ -209,12 +209,12 @@
 void cluster_state::apply_update(const server_removal& update, std::vector<state_change>& out,
                                  monotonic_time)
 {
+    this->set_aside.erase(update.id);
     if (this->directory.find(update.id) != nullptr) {
         this->ended.push_back(update.id);
         out.push_back({.event = "server_entry_ended", .fields = {{"server", update.id.value}}});
     }
 }
-    this->set_aside.erase(update.id);
 
 void cluster_state::apply_update(const domain_update& update, std::vector<state_change>& out,
                                  monotonic_time)
@@ -328,13 +328,13 @@
         }
     }
     if (part == store_part::servers) {
+        std::erase_if(this->set_aside,
+                      [&servers](const auto& item) { return !servers.contains(item.first); });
         for (const auto& [id, record] : this->directory.all()) {
             if (!servers.contains(id)) {
                 this->apply_update(server_removal{id}, out, now);
             }
         }
-        std::erase_if(this->set_aside,
-                      [&servers](const auto& item) { return !servers.contains(item.first); });
     }
     if (part == store_part::operators) {
         const auto before = this->domains_out;
