Connection pool: only the connection that is wanted is looked at

Since each request asked the system about all idle connections of its server, up to eight, where one was asked about before. Behaviour is as before; request_path_test, former_leader_test, repeated_refusal_test, pipelined_requests_test and http_client_test pass.

--- a/src/runtime/connection_pool.cpp
+++ b/src/runtime/connection_pool.cpp
@@ -31,6 +31,12 @@
     return failed == asio::error::would_block;
 }
 
+bool is_reusable(upstream_connection& connection)
+{
+    return monotonic_time::clock::now() < connection.idle_until && connection.buffer.size() == 0 &&
+           is_reusable(connection.stream.socket());
+}
+
 } // namespace
 
 tcp::endpoint to_endpoint(const std::string& text)
@@ -68,28 +74,28 @@
 
 void connection_pool::drop_closed(const std::string& address)
 {
-    const auto now = monotonic_time::clock::now();
-    std::erase_if(this->idle[address], [now](const auto& one) {
-        return now >= one->idle_until || one->buffer.size() > 0 ||
-               !is_reusable(one->stream.socket());
-    });
+    std::erase_if(this->idle[address], [](const auto& one) { return !is_reusable(*one); });
 }
 
 std::unique_ptr<upstream_connection>
 connection_pool::take_idle(const std::string& address,
                            const std::function<bool(const upstream_connection&)>& may_use)
 {
-    this->drop_closed(address);
     auto& idle_connections = this->idle[address];
-    const auto found = std::find_if(idle_connections.rbegin(), idle_connections.rend(),
-                                    [&may_use](const auto& one) { return may_use(*one); });
-    if (found == idle_connections.rend()) {
-        return nullptr;
+    // Looks at a socket only if its connection is wanted: this is done for each request.
+    for (auto at = idle_connections.end(); at != idle_connections.begin();) {
+        --at;
+        if (!may_use(**at)) {
+            continue;
+        }
+        auto connection = std::move(*at);
+        at = idle_connections.erase(at);
+        if (is_reusable(*connection)) {
+            connection->reused = true;
+            return connection;
+        }
     }
-    auto connection = std::move(*found);
-    idle_connections.erase(std::next(found).base());
-    connection->reused = true;
-    return connection;
+    return nullptr;
 }
 
 bool connection_pool::has_open_idle(const std::string& address)
