Requests end before the state of their host

Cause: the event loop is destroyed after the state that suspended requests refer to; the destructors of their variables (counted_body, scoped_count, sending_alone) then use it. The program does the same at the end of a planned stop, also on the threads of request_plane. Change: event_loop destroys its handlers when told to, which hosts, request threads and test fixtures do first. Ruled out: an order of members without this; sockets and timers of the state need the loop.

--- a/include/figreach/direct/runtime/direct_host.h
+++ b/include/figreach/direct/runtime/direct_host.h
@@ -5,7 +5,6 @@
 #include <set>
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
 
@@ -16,6 +15,7 @@
 #include "figreach/direct/runtime/peer_server.h"
 #include "figreach/direct/runtime/store_feed.h"
 #include "figreach/runtime/admin_server.h"
+#include "figreach/runtime/event_loop.h"
 #include "figreach/runtime/metrics.h"
 
 namespace figreach::direct {
@@ -59,7 +59,7 @@
     void add_metrics();
     void sample_counts();
 
-    boost::asio::io_context io{1};
+    event_loop io{1};
     metrics metrics_page;
     std::string settings_file;
     host_context state;
--- a/src/direct/runtime/direct_host.cpp
+++ b/src/direct/runtime/direct_host.cpp
@@ -46,7 +46,10 @@
     this->add_metrics();
 }
 
-direct_host::~direct_host() = default;
+direct_host::~direct_host()
+{
+    this->io.destroy_handlers();
+}
 
 void direct_host::run()
 {
--- a/src/runtime/request_plane.cpp
+++ b/src/runtime/request_plane.cpp
@@ -7,13 +7,13 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "figreach/runtime/caller_session.h"
 #include "figreach/runtime/connection_pool.h"
+#include "figreach/runtime/event_loop.h"
 
 namespace figreach {
 
@@ -60,6 +60,10 @@
     {
     }
 
+    ~worker() { this->io.destroy_handlers(); }
+    worker(const worker&) = delete;
+    worker& operator=(const worker&) = delete;
+
     void run()
     {
         asio::co_spawn(this->io, this->accept(this->caller_acceptor), asio::detached);
@@ -115,9 +119,8 @@
         co_await session.run();
     }
 
-    /// Declared before `io`, whose destructor ends the sessions.
     std::set<caller_session*> sessions;
-    asio::io_context io{1};
+    event_loop io{1};
     connection_pool pool;
     request_thread thread;
     tcp::acceptor caller_acceptor;
--- a/test/direct/former_leader_test.cpp
+++ b/test/direct/former_leader_test.cpp
@@ -18,6 +18,7 @@
 #include "figreach/direct/runtime/leadership.h"
 #include "figreach/direct/runtime/order_client.h"
 #include "figreach/direct/takeover.h"
+#include "figreach/runtime/event_loop.h"
 #include "figreach/runtime/suspension_clock.h"
 
 using namespace figreach;
@@ -256,11 +257,12 @@
 TEST(former_leader_test, a_successor_without_a_lease_grants_nothing_over_new_connections)
 {
     for (const auto& row : offer_rows) {
-        asio::io_context io;
+        event_loop io;
         grant_server server{io};
         taking_host host{io, server.address()};
         host.take_over(row.authority);
         io.run_for(milliseconds{500});
+        io.destroy_handlers();
         CHECK_EQUAL_TEXT(row.grants, server.grants > 0, row.name);
     }
 }
--- a/test/direct/odd_entries_test.cpp
+++ b/test/direct/odd_entries_test.cpp
@@ -3,6 +3,7 @@
 #include "../property.h"
 #include "backend_server.h"
 #include "figreach/direct/runtime/store_feed.h"
+#include "figreach/runtime/event_loop.h"
 #include "figreach/runtime/metrics.h"
 #include "store_server.h"
 
@@ -60,6 +61,9 @@
           feed{this->state}
     {
     }
+    ~entries_fixture() { this->io.destroy_handlers(); }
+    entries_fixture(const entries_fixture&) = delete;
+    entries_fixture& operator=(const entries_fixture&) = delete;
 
     void write(const std::string& key, const std::string& value)
     {
@@ -99,7 +103,7 @@
         return out;
     }
 
-    asio::io_context io;
+    event_loop io;
     standin::store_model model;
     standin::store_server store;
     metrics page;
--- a/test/direct/path_fixture.h
+++ b/test/direct/path_fixture.h
@@ -17,6 +17,7 @@
 #include "figreach/direct/runtime/caller_connection.h"
 #include "figreach/direct/runtime/leadership.h"
 #include "figreach/direct/runtime/peer_server.h"
+#include "figreach/runtime/event_loop.h"
 
 namespace figreach::direct {
 
@@ -136,11 +137,7 @@
         asio::co_spawn(this->io, this->accept(), asio::detached);
         this->io_thread = std::thread{[this] { this->io.run(); }};
     }
-    ~path_fixture()
-    {
-        this->io.stop();
-        this->io_thread.join();
-    }
+    ~path_fixture() { this->end(); }
     path_fixture(const path_fixture&) = delete;
     path_fixture& operator=(const path_fixture&) = delete;
 
@@ -223,19 +220,53 @@
     /// Connects as a caller and sends a request without reading the response.
     tcp::socket call(asio::io_context& own, const std::string& request)
     {
-        tcp::socket socket{own};
-        socket.connect(this->acceptor.local_endpoint());
-        asio::write(socket, asio::buffer(request));
-        return socket;
+        return call(own, request, this->acceptor.local_endpoint());
+    }
+
+    /// As call(), through the address for other hosts.
+    tcp::socket call_as_peer(asio::io_context& own, const std::string& request)
+    {
+        return call(own, request, this->peers.local_endpoint());
+    }
+
+    /// Ends the host with all its requests. Nothing else may be called afterwards, except counts().
+    void end()
+    {
+        if (this->io_thread.joinable()) {
+            this->io.stop();
+            this->io_thread.join();
+            this->io.destroy_handlers();
+        }
+    }
+
+    /// Requests in progress and buffered bytes of bodies. Call it on the event loop or after end().
+    [[nodiscard]] std::uint64_t counts() const
+    {
+        return this->state.in_flight + this->state.buffered_bytes;
+    }
+
+    /// counts() of a host that runs.
+    std::uint64_t current_counts()
+    {
+        std::promise<std::uint64_t> count;
+        asio::post(this->io, [&] { count.set_value(this->counts()); });
+        return count.get_future().get();
     }
 
 private:
-    std::string exchange(const std::string& request, const tcp::endpoint& endpoint)
+    static tcp::socket call(asio::io_context& own, const std::string& request,
+                            const tcp::endpoint& endpoint)
     {
-        asio::io_context own;
         tcp::socket socket{own};
         socket.connect(endpoint);
         asio::write(socket, asio::buffer(request));
+        return socket;
+    }
+
+    static std::string exchange(const std::string& request, const tcp::endpoint& endpoint)
+    {
+        asio::io_context own;
+        auto socket = call(own, request, endpoint);
         return read_until_closed(socket);
     }
 
@@ -316,7 +347,7 @@
         }
     }
 
-    asio::io_context io{1};
+    event_loop io{1};
     metrics metrics_page;
     host_context state;
     store_feed feed;
--- a/test/direct/store_feed_test.cpp
+++ b/test/direct/store_feed_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "../property.h"
+#include "figreach/runtime/event_loop.h"
 #include "figreach/runtime/metrics.h"
 #include "store_server.h"
 
@@ -40,6 +41,9 @@
           feed{this->state}
     {
     }
+    ~feed_fixture() { this->io.destroy_handlers(); }
+    feed_fixture(const feed_fixture&) = delete;
+    feed_fixture& operator=(const feed_fixture&) = delete;
 
     [[nodiscard]] std::size_t known_hosts() const { return this->state.cluster.host_count(); }
     [[nodiscard]] bool lost_store() const { return this->store_lost; }
@@ -124,7 +128,7 @@
         }
     }
 
-    asio::io_context io;
+    event_loop io;
     standin::store_model model;
     standin::store_server store;
     metrics page;
--- a/test/direct/store_readers_test.cpp
+++ b/test/direct/store_readers_test.cpp
@@ -3,14 +3,13 @@
 #include <deque>
 #include <optional>
 
-#include <boost/asio/io_context.hpp>
-
 #include "../free_port.h"
 #include "../property.h"
 #include "figreach/direct/peer_choice.h"
 #include "figreach/direct/runtime/leadership.h"
 #include "figreach/direct/runtime/peer_server.h"
 #include "figreach/direct/runtime/store_feed.h"
+#include "figreach/runtime/event_loop.h"
 #include "figreach/runtime/metrics.h"
 #include "store_server.h"
 
@@ -88,6 +87,9 @@
             this->register_host(this->registered.back());
         }
     }
+    ~fleet() { this->io.destroy_handlers(); }
+    fleet(const fleet&) = delete;
+    fleet& operator=(const fleet&) = delete;
 
     void run(const reader_row& row)
     {
@@ -113,7 +115,7 @@
         (void)this->model.commit(entry, monotonic_time::clock::now());
     }
 
-    boost::asio::io_context io;
+    event_loop io;
     standin::store_model model;
     standin::store_server store{this->io, this->model, 1};
     std::vector<live_host> registered;
