Addresses of server processes are compared only once there are too many

forget_removed_servers built a set of all addresses ten times a second to prune what is known about processes. It does so only when more addresses are known than there are servers, which bounds the map as before. Found by reading; not measured.

--- a/include/figreach/direct/process_continuity.h
+++ b/include/figreach/direct/process_continuity.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <string>
@@ -21,6 +22,8 @@
     /// started before `time`. A connection established by then needs no other proof.
     [[nodiscard]] bool has_run_since(const std::string& address, monotonic_time time,
                                      monotonic_time connected_at) const;
+    /// Number of addresses about which something is known.
+    [[nodiscard]] std::size_t size() const { return this->spans.size(); }
     /// Drops what is known about addresses other than those in use.
     void prune(const std::function<bool(const std::string&)>& is_used);
 
--- a/src/direct/runtime/host_context.cpp
+++ b/src/direct/runtime/host_context.cpp
@@ -302,12 +302,15 @@
     this->rests.prune(now);
     std::erase_if(this->invalid_rate_limits, [&](const auto& id) { return !is_known(id); });
     std::erase_if(this->invalid_rests, [&](const auto& id) { return !is_known(id); });
-    std::set<std::string> addresses;
-    for (const auto& [id, record] : this->cluster.servers().all()) {
-        addresses.insert(record.entry.address);
+    const auto& servers = this->cluster.servers().all();
+    if (this->server_processes.size() > servers.size()) {
+        std::set<std::string> addresses;
+        for (const auto& [id, record] : servers) {
+            addresses.insert(record.entry.address);
+        }
+        this->server_processes.prune(
+            [&addresses](const std::string& address) { return addresses.contains(address); });
     }
-    this->server_processes.prune(
-        [&addresses](const std::string& address) { return addresses.contains(address); });
 }
 
 milliseconds host_context::spread_delay()
