Interfaces of tenants, prompt revocation and tenant limits

Cause: nothing on the platform knows tenants, although configurations may hold them. Result: no behavior changes.

--- a/include/figreach/direct/direct_settings.h
+++ b/include/figreach/direct/direct_settings.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "figreach/direct/quota/quota_bounds.h"
 #include "figreach/direct/request_digest.h"
 #include "figreach/fault.h"
 #include "figreach/ids.h"
@@ -28,6 +30,10 @@
     double repeat_allowance = 64.0;     ///< retries beyond the share, total of all hosts
     milliseconds max_hold{10000};       ///< longest grant that backend servers accept
     milliseconds report_interval{1000}; ///< between reports of a backend server to the store
+    /// Time after its confirmation from which a revoked API key is not accepted, even by hosts that
+    /// the configuration has not reached; empty if such hosts may go on accepting it.
+    std::optional<milliseconds> revocation_limit = std::nullopt;
+    quota_bounds quota = {};                            ///< for the limits of tenants
     std::vector<request_digest> released_requests = {}; ///< cleared at each reload
 };
 
--- a/include/figreach/direct/follow.h
+++ b/include/figreach/direct/follow.h
@@ -58,6 +58,9 @@
     std::uint64_t load_cursor = 0;              ///< `server_loads` holds all news up to here
     /// For how long missing entries may still come back after an outage of the store.
     milliseconds return_left{0};
+    /// From the latest confirmation of the configuration to the arrival of the request; negative if
+    /// it was confirmed while the request waited. Empty if unknown.
+    std::optional<milliseconds> configuration_age = std::nullopt;
 };
 
 /// The leader as known to a host that is not the leader itself.
--- a/include/figreach/direct/route_configuration.h
+++ b/include/figreach/direct/route_configuration.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "figreach/direct/tenants/tenant_rule.h"
 #include "figreach/ids.h"
 #include "figreach/time.h"
 
@@ -40,6 +41,7 @@
     milliseconds timeout{0};           ///< longest time from arrival to the final answer
     milliseconds latency_objective{0}; ///< target; answers within it have full value
     std::uint32_t rank = 0;            ///< 0 is the most urgent
+    bool is_public = false;            ///< needs no API key where the configuration has tenants
     /// First field that could not be read; empty if the route can be used. `host` and `prefix` are
     /// empty if they could not be read.
     std::string unreadable_field;
@@ -77,6 +79,8 @@
     std::vector<route_rule> routes;
     std::map<service_id, service_rule> services;
     caller_limits limits; ///< the default for each limit that could not be read
+    /// If there are any, requests need the API key of one of them unless their route is public.
+    std::vector<tenant_rule> tenants;
     /// Requests of these entries are refused. All other entries are in force.
     std::vector<unreadable_entry> unreadable;
 };
--- a/include/figreach/error_kind.h
+++ b/include/figreach/error_kind.h
@@ -44,6 +44,8 @@
     request_held,
     no_configuration,
     unreadable_route,
+    invalid_api_key,
+    stale_configuration,
     outcome_unknown,
     answer_incomplete,
     retry_budget_spent,
--- a/src/direct/direct_settings.cpp
+++ b/src/direct/direct_settings.cpp
@@ -42,6 +42,15 @@
         in.seconds_or("longest_hold_s", value.max_hold, milliseconds{500}, max_duration);
     value.report_interval =
         in.seconds_or("report_interval_s", value.report_interval, milliseconds{1}, max_duration);
+    const auto revocation_limit =
+        in.seconds_or("revocation_limit_s", milliseconds{0}, milliseconds{500}, max_duration);
+    if (revocation_limit > milliseconds{0}) {
+        value.revocation_limit = revocation_limit;
+    }
+    value.quota.window =
+        in.seconds_or("quota_window_s", value.quota.window, milliseconds{100}, max_duration);
+    value.quota.excess = in.fraction_or("quota_excess", value.quota.excess, 0.0, 1.0);
+    value.quota.slack = in.fraction_or("quota_slack", value.quota.slack, 0.0, max_allowance);
     for (const auto& text : in.texts_or("released_requests", {})) {
         if (const auto digest = parse_request_digest(text)) {
             value.released_requests.push_back(*digest);
--- a/src/direct/follow.cpp
+++ b/src/direct/follow.cpp
@@ -217,6 +217,9 @@
     wire::FollowAnswer out;
     out.set_era(to_number(answer.era));
     out.set_return_left_ms(static_cast<std::uint32_t>(answer.return_left.count()));
+    if (answer.configuration_age) {
+        out.set_configuration_age_ms(answer.configuration_age->count());
+    }
     out.set_load_cursor(answer.load_cursor);
     for (const auto& part : answer.parts) {
         auto* item = out.add_parts();
@@ -361,6 +364,9 @@
                       .era = store_era{in->era()},
                       .load_cursor = in->load_cursor(),
                       .return_left = milliseconds{in->return_left_ms()}};
+    if (in->has_configuration_age_ms()) {
+        out.configuration_age = milliseconds{in->configuration_age_ms()};
+    }
     for (const auto& one : in->parts()) {
         const auto part = part_of(one.part());
         if (!part) {
--- a/test/direct/direct_settings_test.cpp
+++ b/test/direct/direct_settings_test.cpp
@@ -37,6 +37,10 @@
     {"repeat_share = 1.5", "f:7: repeat_share: found 1.5; allowed: a number from 0 to 1\n"},
     {"repeat_allowance = -1",
      "f:7: repeat_allowance: found -1; allowed: a number from 0 to 1e+06\n"},
+    {"revocation_limit_s = 5\nquota_window_s = 5\nquota_excess = 0.1\nquota_slack = 20", ""},
+    {"revocation_limit_s = 0.1",
+     "f:7: revocation_limit_s: found 0.1; allowed: a number from 0.5 to 3600\n"},
+    {"quota_excess = -0.1", "f:7: quota_excess: found -0.1; allowed: a number from 0 to 1\n"},
     {"log_level = \"loud\"",
      "f:7: log_level: found 'loud'; allowed: debug | info | warn | error | off\n"},
 };
@@ -61,6 +65,14 @@
     CHECK_EQUAL(2500, parsed.value.leaving_limit.count());
 }
 
+/// A limit that is assumed where none is set would refuse requests of deployments without it.
+TEST(direct_settings_test, revocation_has_a_limit_only_where_one_is_set)
+{
+    CHECK_FALSE(parse_direct_settings(valid, "f").value.revocation_limit.has_value());
+    const auto parsed = parse_direct_settings(std::string{valid} + "revocation_limit_s = 5\n", "f");
+    CHECK_EQUAL(5000, parsed.value.revocation_limit.value().count());
+}
+
 /// Bounds of the platform may be whole numbers or fractions.
 TEST(direct_settings_test, the_template_names_known_settings_only)
 {
@@ -76,13 +88,16 @@
             }
             const auto close = text.find("}}", open);
             const auto field = text.substr(open + 2, close - open - 2);
+            at = close + 2;
+            if (field.starts_with('#') || field.starts_with('/')) {
+                continue; // a section, filled in as for a value that is present
+            }
             const bool address = field.starts_with("listen") || field.starts_with("provider");
             const bool is_bound = field.starts_with("bounds");
             filled += address         ? "127.0.0.1:1"
                       : field == "ip" ? "127.0.0.1"
                       : is_bound      ? number
                                       : "1";
-            at = close + 2;
         }
         const auto parsed = parse_direct_settings(filled, "f");
         STRCMP_EQUAL_TEXT("", to_text(parsed.faults).c_str(), number.c_str());
--- a/test/error_kind_test.cpp
+++ b/test/error_kind_test.cpp
@@ -50,6 +50,8 @@
     {request_held, "request_held", 503, not_run, false},
     {no_configuration, "no_configuration", 503, not_run, true},
     {unreadable_route, "unreadable_route", 503, not_run, true},
+    {invalid_api_key, "invalid_api_key", 401, not_run, false},
+    {stale_configuration, "stale_configuration", 503, not_run, true},
     {outcome_unknown, "outcome_unknown", 502, unknown, false},
     {answer_incomplete, "answer_incomplete", 0, unknown, false},
     {retry_budget_spent, "retry_budget_spent", 503, not_run, true},
