Tenants and API keys: decoding and identification

Cause: the configuration of a deployment may hold tenants, which nothing read. Not used by the request path yet.

--- a/include/figreach/direct/route_table.h
+++ b/include/figreach/direct/route_table.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "figreach/direct/route_configuration.h"
+#include "figreach/direct/tenants/tenant_table.h"
 
 namespace figreach::direct {
 
@@ -19,6 +20,7 @@
     explicit route_table(std::shared_ptr<const route_configuration> all);
 
     [[nodiscard]] const route_configuration& configuration() const;
+    [[nodiscard]] const tenant_table& tenants() const;
     /// Returns the route of a request, or null if there is none. `host` may include a port and
     /// `target` a query. The route lives as long as the table.
     [[nodiscard]] const route_rule* find(std::string_view host, std::string_view target) const;
@@ -33,6 +35,7 @@
     using by_prefix = std::unordered_map<std::string, std::size_t>;
 
     std::shared_ptr<const route_configuration> all;
+    tenant_table tenants_by_key;
     std::unordered_map<std::string, by_prefix> hosts;
     std::set<std::string> hosts_with_unreadable_prefix; ///< "" if a host name cannot be read
     std::map<std::string, std::vector<double>> credits; ///< by route, one per service
--- a/src/direct/route_table.cpp
+++ b/src/direct/route_table.cpp
@@ -18,7 +18,8 @@
 
 } // namespace
 
-route_table::route_table(std::shared_ptr<const route_configuration> all_) : all{std::move(all_)}
+route_table::route_table(std::shared_ptr<const route_configuration> all_)
+    : all{std::move(all_)}, tenants_by_key{this->all->tenants}
 {
     for (std::size_t i = 0; i < this->all->routes.size(); ++i) {
         const auto& route = this->all->routes[i];
@@ -42,6 +43,11 @@
     return *this->all;
 }
 
+const tenant_table& route_table::tenants() const
+{
+    return this->tenants_by_key;
+}
+
 const route_rule* route_table::find(std::string_view host, std::string_view target) const
 {
     const auto found = this->hosts.find(plain_host(host));
--- a/test/platform/decode_test.cpp
+++ b/test/platform/decode_test.cpp
@@ -81,6 +81,24 @@
      ""},
 };
 
+constexpr auto tenants = R"({"version":"r8","resources":[
+{"type":"tenants","metadata":{"name":"alpha"},"spec":{"api_keys":["a1","a2"],"priority":1,
+ "rate_per_s":315,"burst":31.5}},
+{"type":"tenants","metadata":{"name":"beta"},"spec":{"api_keys":["b1"]}}]})";
+
+const entry_error_row tenant_errors[] = {
+    {"\"name\":\"alpha\"", "\"name\":\"al\\npha\"", "tenants.al\npha", "spec.name", ""},
+    {"[\"a1\",\"a2\"]", "\"a1\"", "tenants.alpha", "spec.api_keys", ""},
+    {"\"a2\"", "5", "tenants.alpha", "spec.api_keys", ""},
+    {"\"a2\"", "\"\"", "tenants.alpha", "spec.api_keys", ""},
+    {"\"api_keys\":[\"a1\",\"a2\"],", "", "tenants.alpha", "spec.api_keys", ""},
+    {"\"priority\":1", "\"priority\":-1", "tenants.alpha", "spec.priority", ""},
+    {"\"rate_per_s\":315", "\"rate_per_s\":-1", "tenants.alpha", "spec.rate_per_s", ""},
+    {"\"rate_per_s\":315", "\"rate_per_s\":\"315\"", "tenants.alpha", "spec.rate_per_s", ""},
+    {"\"burst\":31.5", "\"burst\":-1", "tenants.alpha", "spec.burst", ""},
+    {"\"b1\"", "\"a1\"", "tenants.beta", "api_keys, one of which alpha holds too", ""},
+};
+
 const error_row entry_errors[] = {
     {"10.128.0.9:8080", "host:8080", "address"},
     {"10.128.0.9:8080", "10.128.0.9:0", "address"},
@@ -252,6 +270,58 @@
     }
 }
 
+TEST(decode_test, reads_tenants)
+{
+    const auto parsed = decode_configuration(tenants);
+    const auto& read = std::get<route_configuration>(parsed);
+    CHECK_EQUAL(0U, read.unreadable.size());
+    CHECK_EQUAL(2U, read.tenants.size());
+    const auto& alpha = read.tenants.front();
+    STRCMP_EQUAL("alpha", alpha.name.value.c_str());
+    CHECK_EQUAL(2U, alpha.keys.size());
+    CHECK_TRUE(alpha.keys.front() == digest_of_key("a1"));
+    CHECK_EQUAL(1U, alpha.rank.value());
+    DOUBLES_EQUAL(315.0, alpha.rate, 0.0);
+    DOUBLES_EQUAL(31.5, alpha.burst, 0.0);
+    CHECK_FALSE(read.tenants.back().rank.has_value());
+    DOUBLES_EQUAL(0.0, read.tenants.back().rate, 0.0);
+}
+
+/// Guards against one faulty entry that takes the keys of all tenants out of force.
+TEST(decode_test, names_the_wrong_field_of_a_tenant_and_keeps_the_others)
+{
+    for (const auto& row : tenant_errors) {
+        const auto text = replace_first(tenants, row.from, row.to);
+        const auto parsed = decode_configuration(text);
+        const auto& read = std::get<route_configuration>(parsed);
+        CHECK_EQUAL_TEXT(1U, read.unreadable.size(), row.to);
+        STRCMP_EQUAL_TEXT(row.entry, read.unreadable.front().entry.c_str(), row.to);
+        STRCMP_EQUAL_TEXT(row.field, read.unreadable.front().field.c_str(), row.to);
+        CHECK_EQUAL_TEXT(2U, read.tenants.size(), row.to);
+        const bool other_faulty = !read.tenants.back().unreadable_field.empty();
+        CHECK_FALSE_TEXT(other_faulty, row.to);
+    }
+}
+
+/// 10,000 keys in one version, of which each is found.
+TEST(decode_test, reads_many_keys)
+{
+    constexpr int count = 10'000;
+    boost::json::array keys;
+    for (int i = 0; i < count; ++i) {
+        keys.push_back(boost::json::string{"key-" + std::to_string(i)});
+    }
+    const boost::json::value all{
+        {"version", "r9"},
+        {"resources",
+         {{{"type", "tenants"}, {"metadata", {{"name", "t"}}}, {"spec", {{"api_keys", keys}}}}}}};
+    const auto parsed = decode_configuration(boost::json::serialize(all));
+    const route_table found{
+        std::make_shared<const route_configuration>(std::get<route_configuration>(parsed))};
+    CHECK_TRUE(found.tenants().find(digest_of_key("key-9999")).state == key_state::valid);
+    CHECK_TRUE(found.tenants().find(digest_of_key("key-10000")).state == key_state::unknown);
+}
+
 TEST(decode_test, a_limit_that_cannot_be_read_keeps_its_default)
 {
     const caller_limits usual;
