The request path identifies tenants, binds keys to a confirmed configuration and keeps limits

Change: a request is identified on arrival and again before its first byte is sent; keys are accepted as long as the configuration has been confirmed within the revocation limit, which polls carry between hosts as an age; requests count against the limit of their tenant at the host that took them. A service without keys is chosen by a few draws; the whole list is looked at only if none of them can take the request. Nothing changes without tenants in the configuration but the draws.

--- a/include/figreach/direct/forwarding_head.h
+++ b/include/figreach/direct/forwarding_head.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 #include "figreach/direct/request_digest.h"
 #include "figreach/ids.h"
@@ -14,6 +15,8 @@
     std::uint32_t hops_left = 0; ///< how often the receiver may pass the request on
     backend_server_id server;    ///< the only server to send to; empty if the receiver chooses
     std::optional<request_digest> digest = std::nullopt; ///< unknown from older hosts
+    /// Shows that the sender has counted the request against its tenant's limit; may be empty.
+    std::string counted = {};
 };
 
 } // namespace figreach::direct
--- a/include/figreach/direct/runtime/direct_host.h
+++ b/include/figreach/direct/runtime/direct_host.h
@@ -13,6 +13,7 @@
 #include "figreach/direct/runtime/leadership.h"
 #include "figreach/direct/runtime/path_prober.h"
 #include "figreach/direct/runtime/peer_server.h"
+#include "figreach/direct/runtime/quota_client.h"
 #include "figreach/direct/runtime/store_feed.h"
 #include "figreach/runtime/admin_server.h"
 #include "figreach/runtime/event_loop.h"
@@ -46,6 +47,9 @@
         std::atomic<std::uint64_t> leaving_answers{0};
         std::atomic<std::uint64_t> suspected_requests{0};
         std::atomic<std::uint64_t> held_requests{0};
+        std::atomic<std::uint64_t> quota_refusals{0};
+        std::atomic<std::uint64_t> key_refusals{0};
+        std::atomic<std::uint64_t> freshness_refusals{0};
         std::atomic<bool> path_lost{false};
     };
 
@@ -54,6 +58,8 @@
     boost::asio::awaitable<void> watch_cluster();
     boost::asio::awaitable<void> stop();
     boost::asio::awaitable<void> resign();
+    [[nodiscard]] bool is_ready() const;
+    void check_freshness();
     void reload();
     void close_idle_connections();
     void add_metrics();
@@ -66,6 +72,7 @@
     leadership leader;
     host_registration registration;
     store_feed feed;
+    quota_client quota;
     peer_server peers;
     path_prober prober;
     boost::asio::ip::tcp::acceptor caller_acceptor;
@@ -73,6 +80,7 @@
     std::set<std::weak_ptr<caller_connection>, std::owner_less<>> connections;
     bool resigned = false; ///< leadership and registration have been released
     std::atomic<bool> ready{false};
+    std::atomic<bool> accepts_keys{true}; ///< see host_context::may_accept_keys()
     sampled_counts counts;
     admin_server admin;
 };
--- a/include/figreach/direct/runtime/host_context.h
+++ b/include/figreach/direct/runtime/host_context.h
@@ -14,6 +14,9 @@
 #include "figreach/direct/direct_settings.h"
 #include "figreach/direct/peer_health.h"
 #include "figreach/direct/process_continuity.h"
+#include "figreach/direct/quota/counted_proof.h"
+#include "figreach/direct/quota/host_quota.h"
+#include "figreach/direct/quota/quota_allocator.h"
 #include "figreach/direct/refused_keys.h"
 #include "figreach/direct/runtime/change_signal.h"
 #include "figreach/direct/server_load_tracker.h"
@@ -21,6 +24,7 @@
 #include "figreach/direct/server_rate_limits.h"
 #include "figreach/direct/server_rests.h"
 #include "figreach/direct/store_revision.h"
+#include "figreach/direct/tenants/configuration_freshness.h"
 #include "figreach/retry_budget.h"
 #include "figreach/runtime/connection_pool.h"
 #include "figreach/runtime/metrics.h"
@@ -75,6 +79,9 @@
     void forget_removed_servers(monotonic_time now);
     /// Returns a random delay that spreads calls of all hosts to the store.
     [[nodiscard]] milliseconds spread_delay();
+    /// Whether requests with an API key that arrive now may run: the configuration has no tenants,
+    /// its keys may be revoked late, or it has been confirmed lately.
+    [[nodiscard]] bool may_accept_keys() const;
     /// This host's retry budget for requests to `service`.
     [[nodiscard]] retry_budget& retry_budget_for(const service_id& service);
 
@@ -89,6 +96,15 @@
     platform::store_client store;
     cluster_state cluster;
     change_signal cluster_changed; ///< notified when `cluster` changes
+    configuration_freshness freshness;
+    host_quota quota;                     ///< this host's part of the limits of tenants
+    quota_allocator quota_shares;         ///< of all hosts, used while this host leads
+    change_signal quota_wanted;           ///< notified when a request waits for a share
+    change_signal quota_changed;          ///< notified when shares have come, or will not come
+    bool quota_answered = false;          ///< the leader has answered the latest report
+    std::uint64_t quota_refusals = 0;     ///< requests beyond the limit of their tenant
+    std::uint64_t key_refusals = 0;       ///< requests without a valid API key
+    std::uint64_t freshness_refusals = 0; ///< requests whose key could not be confirmed
     server_load_tracker load_tracker;
     server_path path;
     server_rate_limits rate_limits;
@@ -111,6 +127,7 @@
     monotonic_time reload_at{};
     bool store_reachable = true;
     monotonic_time store_unreachable_since{}; ///< start of the first unanswered call
+    host_secret secret; ///< proves to other hosts that a message comes from this process
     bool stopping = false;
     monotonic_time stop_until = monotonic_time::max(); ///< requests are cut off then
     bool leads = false;                                ///< this host is the leader and assigns keys
--- a/include/figreach/direct/runtime/leadership.h
+++ b/include/figreach/direct/runtime/leadership.h
@@ -32,6 +32,10 @@
     boost::asio::awaitable<void> resign();
 
     [[nodiscard]] bool leads() const;
+    /// The term in which this host leads; 0 if it does not.
+    [[nodiscard]] std::uint64_t term() const;
+    /// Whether its lease in the store still lasts, so that no other host has been elected.
+    [[nodiscard]] bool holds_lease() const;
     /// Continues the term of a leader that has stopped. Returns false if the offer is rejected.
     bool accept_offer(const leadership_transfer& offer);
     /// Steps down from any earlier term because another host leads in `term`.
--- a/include/figreach/direct/runtime/peer_server.h
+++ b/include/figreach/direct/runtime/peer_server.h
@@ -36,6 +36,7 @@
     boost::asio::awaitable<http_response> answer_without_leading(follow_request request);
     http_response handle_tenure_offer(const http_request& request);
     http_response handle_term(const http_request& request);
+    http_response handle_quota_report(const http_request& request);
     [[nodiscard]] std::optional<leader_hint> known_leader() const;
 
     host_context& state;
--- a/include/figreach/direct/runtime/request_runner.h
+++ b/include/figreach/direct/runtime/request_runner.h
@@ -76,6 +76,12 @@
     using choice = std::variant<target, wait_for_change, host_refusal>;
 
     boost::asio::awaitable<request_outcome> serve(const caller_request& request);
+    [[nodiscard]] std::optional<host_refusal> identify_tenant(const caller_request& request);
+    /// Counts the request against the limit of its tenant; waits a short time for a share of it.
+    /// Returns the refusal if the request may not run.
+    boost::asio::awaitable<std::optional<host_refusal>>
+    count_against_limit(const caller_request& request);
+    [[nodiscard]] bool is_counted_elsewhere(const caller_request& request) const;
     boost::asio::awaitable<attempt_event> attempt(const caller_request& request);
     boost::asio::awaitable<attempt_event> attempt_alone(const caller_request& request);
     boost::asio::awaitable<attempt_event> send_or_forward(const caller_request& request, target to);
@@ -99,12 +105,28 @@
     [[nodiscard]] choice select_target(const caller_request& request);
     [[nodiscard]] choice select_owner(const caller_request& request);
     [[nodiscard]] choice select_any_server(const caller_request& request);
+    /// Why servers of a service cannot take a request.
+    struct unavailable_servers {
+        const server_record* unreachable =
+            nullptr; ///< reached by other hosts; null if there is none
+        host_refusal refusal;
+    };
+    [[nodiscard]] choice select_of_all(const caller_request& request,
+                                       const std::vector<const server_record*>& records,
+                                       unavailable_servers& unavailable, monotonic_time now);
+    [[nodiscard]] std::optional<double> cost_of(const caller_request& request,
+                                                const server_record& record,
+                                                unavailable_servers& unavailable,
+                                                monotonic_time now);
     [[nodiscard]] bool accepts_requests(const server_record& record, monotonic_time now) const;
     [[nodiscard]] bool accepts_requests(const target& to, monotonic_time now) const;
     [[nodiscard]] choice admit(const caller_request& request, target to);
     [[nodiscard]] choice admit_limited(const caller_request& request, target to, bool reachable);
     [[nodiscard]] choice pass_on(const caller_request& request, target to);
     [[nodiscard]] choice admit_load(target to);
+    [[nodiscard]] std::optional<host_refusal> refuse_load(const backend_server_id& id,
+                                                          std::uint64_t lifetime,
+                                                          std::uint32_t slots, bool cold);
     [[nodiscard]] std::vector<host_id> preferred_senders(const caller_request& request,
                                                          const target& to, bool reachable) const;
     [[nodiscard]] std::vector<host_id> usable_senders(std::vector<host_id> ordered,
@@ -115,7 +137,7 @@
     [[nodiscard]] bool is_suspected(const caller_request& request) const;
     void record_evidence(const caller_request& request, const exchange_result& result,
                          const target& to, monotonic_time sent_at);
-    [[nodiscard]] bool can_reach(const target& to) const;
+    [[nodiscard]] bool can_reach(const backend_server_id& id, const std::string& address) const;
     [[nodiscard]] bool is_reached_by_others(const backend_server_id& id) const;
     [[nodiscard]] host_refusal refuse_without_path() const;
     [[nodiscard]] std::uint32_t max_connections_per_server() const;
@@ -134,7 +156,15 @@
     std::shared_ptr<route_table> routes; ///< owns the objects that `route` and `service` point to
     const route_rule* route = nullptr;
     const service_rule* service = nullptr;
+    /// Owns the object that `tenant` points to: the newest configuration when it was identified.
+    std::shared_ptr<route_table> identified_by;
+    const tenant_rule* tenant = nullptr;          ///< null if the request needs no API key
+    std::optional<api_key_digest> key;            ///< decoded when the request is first identified
+    std::optional<host_refusal> identity_refusal; ///< the API key has been revoked meanwhile
     std::optional<request_attempts> attempts;
+    tenant_id counted_tenant;    ///< against whose limit this host has counted the request
+    bool counted = false;        ///< against the limit of the tenant, by this host
+    monotonic_time arrived_at{}; ///< including time spent suspended
     monotonic_time deadline{};
     std::set<backend_server_id> tried_servers;
     std::optional<http_response> answer;
--- a/include/figreach/direct/runtime/store_feed.h
+++ b/include/figreach/direct/runtime/store_feed.h
@@ -72,7 +72,8 @@
     boost::asio::awaitable<std::optional<follow_answer>> poll(leader_hint host,
                                                               follow_request request);
     [[nodiscard]] follow_request make_poll_request() const;
-    void apply_answer(follow_answer answer);
+    void apply_answer(follow_answer answer, monotonic_time asked_at);
+    void confirm_configuration(store_part part, monotonic_time asked_at);
     [[nodiscard]] bool may_poll(const leader_hint& leader) const;
     void stop_relying_on_others();
     [[nodiscard]] std::vector<host_id> store_readers() const;
--- a/include/figreach/direct/stored_records.h
+++ b/include/figreach/direct/stored_records.h
@@ -31,6 +31,7 @@
     std::string peer_address;
     std::uint32_t processor_percent = 100; ///< of one core
     failure_domain_id failure_domain;
+    std::string secret = {}; ///< see counted_proof.h; empty if the host has none
 
     friend bool operator==(const live_host&, const live_host&) = default;
 };
--- a/include/figreach/error_kind.h
+++ b/include/figreach/error_kind.h
@@ -46,6 +46,7 @@
     unreadable_route,
     invalid_api_key,
     stale_configuration,
+    tenant_share_unknown,
     outcome_unknown,
     answer_incomplete,
     retry_budget_spent,
--- a/src/direct/runtime/direct_host.cpp
+++ b/src/direct/runtime/direct_host.cpp
@@ -12,6 +12,7 @@
 
 #include "figreach/direct/runtime/caller_connection.h"
 #include "figreach/runtime/log.h"
+#include "figreach/runtime/suspension_clock.h"
 
 namespace figreach::direct {
 
@@ -37,11 +38,12 @@
       leader{this->state},
       registration{this->state},
       feed{this->state},
+      quota{this->state, this->leader, this->feed},
       peers{this->state, this->leader, this->feed},
       prober{this->state},
       caller_acceptor{this->io, to_endpoint(settings.caller_address)},
       signals{this->io, SIGTERM, SIGINT, SIGHUP},
-      admin{settings.admin_address, this->metrics_page, [this] { return this->ready.load(); }}
+      admin{settings.admin_address, this->metrics_page, [this] { return this->is_ready(); }}
 {
     this->add_metrics();
 }
@@ -58,6 +60,7 @@
     this->leader.start();
     this->peers.start();
     this->prober.start();
+    this->quota.start();
     asio::co_spawn(this->io, this->accept(), asio::detached);
     asio::co_spawn(this->io, this->watch_signals(), asio::detached);
     asio::co_spawn(this->io, this->watch_cluster(), asio::detached);
@@ -123,10 +126,28 @@
             this->ready = true;
             log_event(log_level::info, "ready", {});
         }
+        this->check_freshness();
         co_await sleep_for(this->io, cluster_check_interval);
     }
 }
 
+/// Callers are better served by hosts that may accept their keys.
+bool direct_host::is_ready() const
+{
+    return this->ready && this->accepts_keys;
+}
+
+void direct_host::check_freshness()
+{
+    const bool accepts = this->state.may_accept_keys();
+    if (accepts == this->accepts_keys.exchange(accepts)) {
+        return;
+    }
+    const auto age = time_with_suspension() - this->state.freshness.confirmed_at();
+    log_event(log_level::warn, accepts ? "configuration_confirmed" : "configuration_unconfirmed",
+              {{"age_ms", std::to_string(std::chrono::duration_cast<milliseconds>(age).count())}});
+}
+
 asio::awaitable<void> direct_host::stop()
 {
     const auto started = monotonic_time::clock::now();
@@ -180,6 +201,7 @@
     }
     this->state.settings.stop_limit = parsed.value.stop_limit;
     this->state.settings.leaving_limit = parsed.value.leaving_limit;
+    this->state.settings.revocation_limit = parsed.value.revocation_limit;
     this->state.settings.log_level = parsed.value.log_level;
     this->state.settings.released_requests = parsed.value.released_requests;
     this->state.release_requests();
@@ -198,6 +220,9 @@
     this->counts.leaving_answers = this->state.leaving_answers;
     this->counts.suspected_requests = this->state.suspects.count_at(crash_level::suspected);
     this->counts.held_requests = this->state.suspects.count_at(crash_level::held);
+    this->counts.quota_refusals = this->state.quota_refusals;
+    this->counts.key_refusals = this->state.key_refusals;
+    this->counts.freshness_refusals = this->state.freshness_refusals;
     this->counts.path_lost = this->state.path.is_lost();
 }
 
@@ -231,10 +256,20 @@
         metric_type::gauge, [this] { return this->counts.suspected_requests.load(); });
     add("crash_held", "Requests that are refused since servers ended while running them.",
         metric_type::gauge, [this] { return this->counts.held_requests.load(); });
+    add("requests_without_valid_key_total", "Requests refused for want of a valid API key.",
+        metric_type::counter, [this] { return this->counts.key_refusals.load(); });
+    add("requests_key_unconfirmed_total",
+        "Requests refused since the host could not confirm that their API key is still valid.",
+        metric_type::counter, [this] { return this->counts.freshness_refusals.load(); });
+    add("requests_over_tenant_limit_total", "Requests refused beyond the limit of their tenant.",
+        metric_type::counter, [this] { return this->counts.quota_refusals.load(); });
+    add("accepts_api_keys",
+        "Whether the configuration is confirmed recently enough to accept keys.",
+        metric_type::gauge, [this] { return std::uint64_t{this->accepts_keys ? 1U : 0U}; });
     add("server_path_lost", "Whether the host reaches no backend server.", metric_type::gauge,
         [this] { return std::uint64_t{this->counts.path_lost ? 1U : 0U}; });
     add("ready", "Whether the host takes new connections.", metric_type::gauge,
-        [this] { return std::uint64_t{this->ready ? 1U : 0U}; });
+        [this] { return std::uint64_t{this->is_ready() ? 1U : 0U}; });
 }
 
 } // namespace figreach::direct
--- a/src/direct/runtime/forwarding.cpp
+++ b/src/direct/runtime/forwarding.cpp
@@ -19,6 +19,7 @@
 constexpr auto hops_field = "X-Figreach-Hops-Left";
 constexpr auto digest_field = "X-Figreach-Digest";
 constexpr auto server_field = "X-Figreach-Server";
+constexpr auto counted_field = "X-Figreach-Counted";
 constexpr auto refusal_field = "X-Figreach-Refusal";
 constexpr auto retry_after_field = "X-Figreach-Retry-After-Ms";
 constexpr std::uint32_t max_hops = 1;
@@ -56,6 +57,10 @@
     if (head.digest) {
         out.set(digest_field, to_text(*head.digest));
     }
+    out.erase(counted_field);
+    if (!head.counted.empty()) {
+        out.set(counted_field, head.counted);
+    }
     platform::encode_time_left(out, time_left);
     return out;
 }
@@ -66,13 +71,15 @@
     const auto hops = bounded_number(take_field(message, hops_field), max_hops);
     auto server = take_field(message, server_field);
     const auto digest = parse_request_digest(take_field(message, digest_field));
+    auto counted = take_field(message, counted_field);
     if (from.empty()) {
         return std::nullopt;
     }
     return forwarding_head{.from = {std::move(from)},
                            .hops_left = hops,
                            .server = {std::move(server)},
-                           .digest = digest};
+                           .digest = digest,
+                           .counted = std::move(counted)};
 }
 
 http_response encode_forwarded_answer(request_outcome outcome, const std::string& request_id,
--- a/src/direct/runtime/host_context.cpp
+++ b/src/direct/runtime/host_context.cpp
@@ -67,6 +67,10 @@
             [this](store_era era, auto former) { this->record_store_era(era, former); }},
       cluster{directory_settings{.min_outage = absence_reports * settings_.report_interval}},
       cluster_changed{io_},
+      quota{settings_.quota},
+      quota_shares{{.bounds = settings_.quota}},
+      quota_wanted{io_},
+      quota_changed{io_},
       load_tracker{load_tracker_settings{}},
       path{server_path_settings{}, monotonic_time::clock::now()},
       rate_limits{rate_limit_settings{}},
@@ -74,7 +78,8 @@
       server_connections{io_, max_idle_per_server},
       peer_connections{io_, max_idle_per_peer},
       peers{peer_health_settings{}},
-      random_state{std::random_device{}()}
+      random_state{std::random_device{}()},
+      secret{make_host_secret()}
 {
 }
 
@@ -322,6 +327,14 @@
     return milliseconds{static_cast<std::int64_t>(random)};
 }
 
+bool host_context::may_accept_keys() const
+{
+    const auto routes = this->cluster.routes();
+    const auto& limit = this->settings.revocation_limit;
+    return !routes || routes->tenants().empty() || !limit ||
+           this->freshness.may_serve(time_with_suspension(), *limit);
+}
+
 retry_budget& host_context::retry_budget_for(const service_id& service)
 {
     const auto known = this->retry_budgets.find(service);
--- a/src/direct/runtime/host_registration.cpp
+++ b/src/direct/runtime/host_registration.cpp
@@ -74,7 +74,8 @@
                          .lifetime = this->state.lifetime,
                          .peer_address = this->state.settings.peer_address,
                          .processor_percent = static_cast<std::uint32_t>(processor),
-                         .failure_domain = this->state.settings.failure_domain};
+                         .failure_domain = this->state.settings.failure_domain,
+                         .secret = this->state.secret.bytes};
     store_transaction entry{.era = opened_lease->era};
     entry.writes.push_back(
         {.key = hosts_prefix + self.name.value, .value = encode(self), .lease = *opened_lease});
--- a/src/direct/runtime/leadership.cpp
+++ b/src/direct/runtime/leadership.cpp
@@ -63,6 +63,17 @@
     return this->current_term != nullptr;
 }
 
+std::uint64_t leadership::term() const
+{
+    return this->current_term != nullptr ? this->current_term->term : 0;
+}
+
+bool leadership::holds_lease() const
+{
+    return this->current_term != nullptr &&
+           time_with_suspension() < this->current_term->lease_until;
+}
+
 void leadership::record_follower(const host_id& host)
 {
     if (this->current_term) {
--- a/src/direct/runtime/peer_server.cpp
+++ b/src/direct/runtime/peer_server.cpp
@@ -14,6 +14,7 @@
 
 #include "figreach/direct/runtime/counted_body.h"
 #include "figreach/direct/runtime/forwarding.h"
+#include "figreach/direct/runtime/quota_client.h"
 #include "figreach/runtime/caller_watch.h"
 #include "figreach/runtime/connection_pool.h"
 #include "figreach/runtime/log.h"
@@ -157,6 +158,9 @@
     if (request.target() == "/term") {
         co_return this->handle_term(request);
     }
+    if (request.target() == "/quota") {
+        co_return this->handle_quota_report(request);
+    }
     http_response out;
     const auto follow = decode_follow_request(request.body());
     if (!follow) {
@@ -228,6 +232,22 @@
     return out;
 }
 
+http_response peer_server::handle_quota_report(const http_request& request)
+{
+    http_response out;
+    const auto report = decode_quota_report(request.body());
+    if (!report) {
+        out.result(http::status::bad_request);
+        return out;
+    }
+    const auto shares = quota_client::answer(this->state, this->leader, *report);
+    out.result(shares ? http::status::ok : http::status::service_unavailable);
+    if (shares) {
+        out.body() = encode(*shares);
+    }
+    return out;
+}
+
 http_response peer_server::handle_term(const http_request& request)
 {
     http_response out;
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -5,6 +5,7 @@
 
 #include "figreach/direct/owner_wait.h"
 #include "figreach/direct/runtime/forwarding.h"
+#include "figreach/direct/tenants/identification.h"
 #include "figreach/runtime/log.h"
 #include "figreach/runtime/suspension_clock.h"
 #include "retry_delays.h"
@@ -24,6 +25,8 @@
 /// A suspected request waits this long for those that are sent alone before it.
 constexpr milliseconds alone_wait_limit{1000};
 constexpr milliseconds alone_poll_interval{20};
+/// For which a request waits for a share of its tenant's limit.
+constexpr milliseconds share_wait{250};
 constexpr milliseconds min_time_left{5}; ///< a request with less time left is not sent
 constexpr unsigned first_server_error = 500;
 
@@ -87,6 +90,10 @@
 asio::awaitable<request_outcome> request_runner::run(const caller_request& request)
 {
     auto outcome = co_await this->serve(request);
+    const auto* refusal = std::get_if<host_refusal>(&outcome);
+    if (refusal != nullptr && this->counted && answer_of(refusal->kind).ran == run_state::not_run) {
+        this->state.quota.give_back(this->counted_tenant);
+    }
     this->log_outcome(request, outcome);
     this->record_outcome(request, outcome);
     co_return outcome;
@@ -126,6 +133,10 @@
     if (this->route == nullptr) {
         co_return host_refusal{.kind = error_kind::unknown_service, .retry_after = {}};
     }
+    this->arrived_at = time_with_suspension();
+    if (const auto refusal = this->identify_tenant(request)) {
+        co_return *refusal;
+    }
     const bool readable = this->route->unreadable_field.empty();
     this->service = readable ? this->routes->next_service(*this->route) : nullptr;
     if (this->service == nullptr) {
@@ -143,6 +154,9 @@
     if (!this->ends_before_stop()) {
         co_return host_refusal{.kind = error_kind::host_stopping, .retry_after = {}};
     }
+    if (const auto refusal = co_await this->count_against_limit(request)) {
+        co_return *refusal;
+    }
     const attempt_facts facts{.idempotent = may_repeat(this->route->kind),
                               .divided_by_key = this->service->divided_by_key,
                               .forwarded = request.forwarded.has_value(),
@@ -164,6 +178,9 @@
         if (auto* lost = std::get_if<lost_after_send>(&event)) {
             lost->replayable = lost->replayable && !this->is_suspected(request);
         }
+        if (this->identity_refusal) {
+            co_return *this->identity_refusal;
+        }
         action = this->attempts->handle(event, monotonic_time::clock::now());
         if (std::holds_alternative<no_action>(action)) {
             // The deadline expired just before sending.
@@ -188,6 +205,96 @@
     }
 }
 
+/// Identifies the tenant by the newest configuration. Returns the refusal if the request may not
+/// run.
+std::optional<host_refusal> request_runner::identify_tenant(const caller_request& request)
+{
+    const bool first = this->identified_by == nullptr || this->identified_by->tenants().empty();
+    this->identified_by = this->state.cluster.routes();
+    this->tenant = nullptr;
+    const auto& tenants = this->identified_by->tenants();
+    if (tenants.empty()) {
+        return std::nullopt;
+    }
+    if (first) {
+        this->key = platform::decode_api_key(request.message);
+    }
+    const auto& limit = this->state.settings.revocation_limit;
+    const auto found =
+        identify({.tenants = tenants,
+                  .is_public = this->route->is_public,
+                  .is_fresh = !limit || this->state.freshness.may_serve(this->arrived_at, *limit),
+                  .key = this->key});
+    if (const auto* refused = std::get_if<identification_refused>(&found)) {
+        auto& refusals = refused->kind == error_kind::stale_configuration
+                             ? this->state.freshness_refusals
+                             : this->state.key_refusals;
+        ++refusals;
+        return host_refusal{.kind = refused->kind,
+                            .retry_after = this->add_jitter(refused_retry_delay)};
+    }
+    if (const auto* identified = std::get_if<identified_tenant>(&found)) {
+        this->tenant = identified->tenant;
+    }
+    return std::nullopt;
+}
+
+bool request_runner::is_counted_elsewhere(const caller_request& request) const
+{
+    if (!request.forwarded) {
+        return false;
+    }
+    const auto* sender = this->state.cluster.find_host(request.forwarded->from);
+    return sender != nullptr && is_counted_proof(request.forwarded->counted, sender->secret,
+                                                 sender->name, request.head.request_id);
+}
+
+asio::awaitable<std::optional<host_refusal>>
+request_runner::count_against_limit(const caller_request& request)
+{
+    if (this->tenant == nullptr || this->tenant->rate <= 0.0 ||
+        this->is_counted_elsewhere(request)) {
+        co_return std::nullopt;
+    }
+    auto& quota = this->state.quota;
+    auto decision = quota.admit(*this->tenant, time_with_suspension());
+    if (std::holds_alternative<quota_unknown>(decision) && this->state.quota_answered) {
+        quota.want(this->tenant->name);
+        this->state.quota_wanted.notify();
+        // The first answer may be to a report from before this request.
+        const auto until = std::min(this->deadline, monotonic_time::clock::now() + share_wait);
+        while (std::holds_alternative<quota_unknown>(decision) && !this->cancelled &&
+               this->state.quota_answered && monotonic_time::clock::now() < until) {
+            co_await this->state.quota_changed.wait(until);
+            decision = quota.admit_waiting(*this->tenant, time_with_suspension());
+        }
+    }
+    if (std::holds_alternative<quota_admitted>(decision)) {
+        this->counted = true;
+        this->counted_tenant = this->tenant->name;
+        co_return std::nullopt;
+    }
+    ++this->state.quota_refusals;
+    const auto used = quota.usage_of(this->tenant->name);
+    log_event(log_level::info, "tenant_limit",
+              {{"id", request.head.request_id},
+               {"tenant", this->tenant->name.value},
+               {"rate", std::to_string(this->tenant->rate)},
+               {"burst", std::to_string(this->tenant->burst)},
+               {"fraction", std::to_string(used.fraction)},
+               {"tokens", std::to_string(used.tokens)},
+               {"depth", std::to_string(used.depth)},
+               {"exhausted", used.exhausted ? "true" : "false"}});
+    if (const auto* refused = std::get_if<quota_refused>(&decision)) {
+        co_return host_refusal{.kind = error_kind::tenant_over_limit,
+                               .retry_after = refused->retry_after};
+    }
+    const bool all_used = quota.has_shares(time_with_suspension());
+    co_return host_refusal{.kind = all_used ? error_kind::tenant_over_limit
+                                            : error_kind::tenant_share_unknown,
+                           .retry_after = this->add_jitter(no_owner_retry_delay)};
+}
+
 /// Whether a request that begins now ends before the host does. One that may not be repeated needs
 /// all of its time limit; one that may is expected to take a small multiple of its objective.
 bool request_runner::ends_before_stop() const
@@ -361,7 +468,17 @@
         }
         co_return route_resolved{route_location::none};
     }
+    this->identity_refusal = this->identify_tenant(request);
+    if (this->identity_refusal) {
+        load_tracker.on_finished(to.id, send_outcome::cancelled, {}, std::nullopt, now);
+        this->state.server_connections.give_back(to.address, std::move(connection));
+        co_return rejected_locally{.kind = this->identity_refusal->kind, .retry_after = {}};
+    }
     const auto message = std::make_shared<http_request>(make_upstream_message(request.message));
+    if (!this->routes->tenants().empty() || !this->identified_by->tenants().empty()) {
+        platform::encode_tenant(*message,
+                                this->tenant != nullptr ? this->tenant->name : tenant_id{});
+    }
     platform::encode_server_head(*message, to.id, time_left);
     if (!std::holds_alternative<no_action>(this->attempts->handle(sending{}, now))) {
         load_tracker.on_finished(to.id, send_outcome::cancelled, {}, std::nullopt, now);
@@ -453,7 +570,12 @@
         const forwarding_head head{.from = this->state.settings.name,
                                    .hops_left = to.hops_left,
                                    .server = chooses_server ? backend_server_id{} : to.id,
-                                   .digest = request.digest};
+                                   .digest = request.digest,
+                                   .counted = this->counted
+                                                  ? counted_proof(this->state.secret.bytes,
+                                                                  this->state.settings.name,
+                                                                  request.head.request_id)
+                                                  : std::string{}};
         const auto message =
             std::make_shared<http_request>(encode_forwarded(request, head, time_left));
         this->state.peers.on_sent(name, now);
@@ -674,6 +796,7 @@
                {"from", request.forwarded ? request.forwarded->from.value : ""},
                {"route", this->route != nullptr ? this->route->name : ""},
                {"service", this->service != nullptr ? this->service->name.value : ""},
+               {"tenant", this->tenant != nullptr ? this->tenant->name.value : ""},
                {"key", request.head.key ? std::to_string(*request.head.key) : ""},
                {"configuration",
                 this->routes ? std::to_string(this->routes->configuration().version) : ""},
--- a/src/direct/runtime/request_selection.cpp
+++ b/src/direct/runtime/request_selection.cpp
@@ -5,6 +5,7 @@
 
 #include "figreach/direct/admission.h"
 #include "figreach/direct/peer_choice.h"
+#include "figreach/direct/placement/server_sample.h"
 #include "figreach/direct/runtime/request_runner.h"
 #include "retry_delays.h"
 
@@ -95,57 +96,93 @@
            this->accepts_requests(*record, now);
 }
 
-/// Picks the cheaper of two random servers that accept new work (power of two choices). If this
-/// host can connect to none of them, a peer picks one.
+/// Picks the cheaper of two random servers that accept new work (power of two choices). Only if
+/// none of a few drawn ones can take the request are all of them checked. If this host can connect
+/// to none of them, a peer picks one.
 request_runner::choice request_runner::select_any_server(const caller_request& request)
 {
+    const auto records = this->state.cluster.servers_for_new_work(this->service->name);
     const auto now = monotonic_time::clock::now();
-    std::vector<target> candidates;
-    std::vector<double> costs;
-    std::optional<target> unreachable;
-    host_refusal refusal{.kind = error_kind::no_owner, .retry_after = no_owner_retry_delay};
-    for (const auto* record : this->state.cluster.servers_for_new_work(this->service->name)) {
-        const auto& id = record->entry.id;
-        const bool is_other = request.forwarded && !request.forwarded->server.empty() &&
-                              request.forwarded->server != id;
-        if (is_other || this->tried_servers.contains(id)) {
-            continue;
-        }
-        auto to = this->make_target(*record);
-        if (!this->can_reach(to)) {
-            if (this->is_reached_by_others(id)) {
-                unreachable = std::move(to);
-            }
-            continue;
-        }
-        // Which host sends to a limited server is decided only for the one that is chosen.
-        const auto held_off = this->state.rate_limits.held_off_for(id, now);
-        auto admitted = this->state.rate_limits.rate_of(id) ? choice{std::move(to)}
-                                                            : this->admit_load(std::move(to));
-        if (held_off > milliseconds{0}) {
-            admitted = host_refusal{.kind = error_kind::server_at_limit, .retry_after = held_off};
+    unavailable_servers unavailable{
+        .refusal = {.kind = error_kind::no_owner, .retry_after = no_owner_retry_delay}};
+    const auto cost = [&](std::size_t index) {
+        return this->cost_of(request, *records[index], unavailable, now);
+    };
+    const auto drawn = draw_cheaper_of_two(records.size(), this->state.random_state, cost);
+    if (drawn) {
+        auto admitted = this->admit(request, this->make_target(*records[*drawn]));
+        if (!std::holds_alternative<host_refusal>(admitted)) {
+            return admitted;
         }
-        if (const auto* refused = std::get_if<host_refusal>(&admitted)) {
-            // Of several servers that rest, the first that takes requests again.
-            const bool is_later = refused->kind == error_kind::server_resting &&
-                                  refusal.kind == error_kind::server_resting &&
-                                  refused->retry_after > refusal.retry_after;
-            refusal = is_later ? refusal : *refused;
-            continue;
+    }
+    return this->select_of_all(request, records, unavailable, now);
+}
+
+/// As select_any_server(), comparing two of all servers that can take the request.
+request_runner::choice
+request_runner::select_of_all(const caller_request& request,
+                              const std::vector<const server_record*>& records,
+                              unavailable_servers& unavailable, monotonic_time now)
+{
+    std::vector<const server_record*> candidates;
+    std::vector<double> costs;
+    for (const auto* record : records) {
+        if (const auto cost = this->cost_of(request, *record, unavailable, now)) {
+            candidates.push_back(record);
+            costs.push_back(*cost);
         }
-        candidates.push_back(std::get<target>(std::move(admitted)));
-        costs.push_back(this->state.load_tracker.cost(id, candidates.back().slots, now));
     }
     while (const auto chosen = cheaper_of_two(costs, this->state.random_state)) {
-        auto admitted = this->admit(request, candidates[*chosen]);
+        auto admitted = this->admit(request, this->make_target(*candidates[*chosen]));
         if (!std::holds_alternative<host_refusal>(admitted)) {
             return admitted;
         }
-        refusal = std::get<host_refusal>(admitted);
+        unavailable.refusal = std::get<host_refusal>(admitted);
         candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(*chosen));
         costs.erase(costs.begin() + static_cast<std::ptrdiff_t>(*chosen));
     }
-    return unreachable ? this->pass_on(request, *unreachable) : refusal;
+    return unavailable.unreachable != nullptr
+               ? this->pass_on(request, this->make_target(*unavailable.unreachable))
+               : unavailable.refusal;
+}
+
+/// Cost of sending the request to a server. Empty if this host cannot or may not send there, which
+/// is recorded.
+std::optional<double> request_runner::cost_of(const caller_request& request,
+                                              const server_record& record,
+                                              unavailable_servers& unavailable, monotonic_time now)
+{
+    const auto& id = record.entry.id;
+    const bool is_other =
+        request.forwarded && !request.forwarded->server.empty() && request.forwarded->server != id;
+    if (is_other || this->tried_servers.contains(id)) {
+        return std::nullopt;
+    }
+    if (!this->can_reach(id, record.entry.address)) {
+        if (this->is_reached_by_others(id)) {
+            unavailable.unreachable = &record;
+        }
+        return std::nullopt;
+    }
+    // Which host sends to a limited server is decided only for the one that is chosen.
+    auto refused = this->state.rate_limits.rate_of(id)
+                       ? std::nullopt
+                       : this->refuse_load(id, record.entry.lifetime, record.entry.slots,
+                                           now < record.cold_until);
+    const auto held_off = this->state.rate_limits.held_off_for(id, now);
+    if (held_off > milliseconds{0}) {
+        refused = host_refusal{.kind = error_kind::server_at_limit, .retry_after = held_off};
+    }
+    if (refused) {
+        // Of several servers that rest, the first that takes requests again.
+        const auto& known = unavailable.refusal;
+        const bool is_later = refused->kind == error_kind::server_resting &&
+                              known.kind == error_kind::server_resting &&
+                              refused->retry_after > known.retry_after;
+        unavailable.refusal = is_later ? known : *refused;
+        return std::nullopt;
+    }
+    return this->state.load_tracker.cost(id, record.entry.slots, now);
 }
 
 /// This host's share of the connections that a backend server accepts from all hosts.
@@ -158,13 +195,13 @@
 }
 
 /// Whether this host may be able to connect to the server.
-bool request_runner::can_reach(const target& to) const
+bool request_runner::can_reach(const backend_server_id& id, const std::string& address) const
 {
     const auto now = monotonic_time::clock::now();
     const auto& path = this->state.path;
     const bool may_connect =
-        !path.connects_fail() && this->state.load_tracker.is_reachable(to.id, now);
-    return !path.is_lost() && (may_connect || this->state.server_connections.has_idle(to.address));
+        !path.connects_fail() && this->state.load_tracker.is_reachable(id, now);
+    return !path.is_lost() && (may_connect || this->state.server_connections.has_idle(address));
 }
 
 /// The hosts that send to a server that limits its rate, up to this one if it reaches the server.
@@ -214,7 +251,7 @@
 
 request_runner::choice request_runner::admit(const caller_request& request, target to)
 {
-    const bool reachable = this->can_reach(to);
+    const bool reachable = this->can_reach(to.id, to.address);
     if (!reachable && !this->is_reached_by_others(to.id)) {
         return host_refusal{.kind = error_kind::no_owner, .retry_after = no_owner_retry_delay};
     }
@@ -279,35 +316,45 @@
 /// Refuses a request while the server wants none from this host, that it cannot finish in time,
 /// that exceeds this host's share of connections, or that exceeds the rate limit of a cold server.
 request_runner::choice request_runner::admit_load(target to)
+{
+    if (const auto refused = this->refuse_load(to.id, to.lifetime, to.slots, to.cold)) {
+        return *refused;
+    }
+    return to;
+}
+
+std::optional<host_refusal> request_runner::refuse_load(const backend_server_id& id,
+                                                        std::uint64_t lifetime, std::uint32_t slots,
+                                                        bool cold)
 {
     const auto now = monotonic_time::clock::now();
-    const auto rest = this->state.rests.time_left(to.id, to.lifetime, now);
+    const auto rest = this->state.rests.time_left(id, lifetime, now);
     if (rest > milliseconds{0}) {
         return host_refusal{.kind = error_kind::server_resting, .retry_after = rest};
     }
     const auto& load_tracker = this->state.load_tracker;
-    if (to.cold && this->service->cold_rate > 0.0) {
-        const auto next = next_cold_send(to.id, load_tracker.view(to.id), this->service->cold_rate,
+    if (cold && this->service->cold_rate > 0.0) {
+        const auto next = next_cold_send(id, load_tracker.view(id), this->service->cold_rate,
                                          this->state.settings.name, this->state.cluster.hosts());
         if (!next || now < *next) {
             return host_refusal{.kind = error_kind::server_cold,
                                 .retry_after = refused_retry_delay};
         }
     }
-    if (load_tracker.view(to.id).in_flight >= this->max_connections_per_server()) {
+    if (load_tracker.view(id).in_flight >= this->max_connections_per_server()) {
         return host_refusal{.kind = error_kind::overloaded, .retry_after = refused_retry_delay};
     }
     constexpr double draws = 1 << 20;
     const auto random = next_random(this->state.random_state) % static_cast<std::uint64_t>(draws);
-    const admission_input input{.wait = load_tracker.expected_wait(to.id, to.slots, now),
-                                .service_time = load_tracker.expected_service_time(to.id, now),
+    const admission_input input{.wait = load_tracker.expected_wait(id, slots, now),
+                                .service_time = load_tracker.expected_service_time(id, now),
                                 .time_left = std::chrono::floor<milliseconds>(this->deadline - now),
-                                .queue_fill = load_tracker.queue_fill(to.id, to.slots, now),
+                                .queue_fill = load_tracker.queue_fill(id, slots, now),
                                 .draw = static_cast<double>(random) / draws};
     if (const auto excess = excess_wait(input)) {
         return host_refusal{.kind = error_kind::overloaded, .retry_after = *excess};
     }
-    return to;
+    return std::nullopt;
 }
 
 } // namespace figreach::direct
--- a/src/direct/runtime/store_feed.cpp
+++ b/src/direct/runtime/store_feed.cpp
@@ -12,6 +12,7 @@
 #include "figreach/direct/stored_records.h"
 #include "figreach/retry_budget.h"
 #include "figreach/runtime/log.h"
+#include "figreach/runtime/suspension_clock.h"
 #include "items.h"
 
 namespace figreach::direct {
@@ -186,6 +187,7 @@
         }
         const auto after = this->parts[part].position;
         const auto called_at = monotonic_time::clock::now();
+        const auto asked_at = time_with_suspension();
         auto outcome = co_await this->state.store.watch(platform::prefix_of(part), *after,
                                                         milliseconds{0}, confirm_timeout);
         auto* changes = std::get_if<store_changes>(&outcome);
@@ -196,6 +198,7 @@
         const auto& position = this->parts[part].position;
         if (position && position->era() == after->era()) {
             this->apply(part, std::move(*changes));
+            this->confirm_configuration(part, asked_at);
         }
     }
 }
@@ -218,8 +221,21 @@
 
 asio::awaitable<void> store_feed::load_snapshot(store_part part)
 {
+    const auto asked_at = time_with_suspension();
     if (const auto snapshot = co_await this->read_part(part)) {
         this->apply_snapshot(part, *snapshot);
+        this->confirm_configuration(part, asked_at);
+    }
+}
+
+/// Records that what is known of the operators' part is the answer to a question sent at
+/// `asked_at`, which includes time spent suspended. What is known of an earlier era of the store
+/// confirms nothing.
+void store_feed::confirm_configuration(store_part part, monotonic_time asked_at)
+{
+    const auto& position = this->parts[store_part::operators].position;
+    if (part == store_part::operators && position && position->era() == this->state.store.era()) {
+        this->state.freshness.confirm(asked_at);
     }
 }
 
@@ -272,6 +288,7 @@
         co_return;
     }
     const auto called_at = monotonic_time::clock::now();
+    const auto asked_at = time_with_suspension();
     const bool for_others = this->state.leads || this->reads_for_others();
     const auto usual_wait = for_others ? leader_watch_wait : watch_wait;
     // An immediate answer shows that the store is reachable again, and lets a reader answer polls.
@@ -302,6 +319,7 @@
     auto& changes = std::get<store_changes>(outcome);
     const bool has_changes = !changes.changes.empty();
     this->apply(part, std::move(changes));
+    this->confirm_configuration(part, asked_at);
     if (has_changes) {
         co_await sleep_for(this->state.io, this->backoff().after_changes());
     }
@@ -315,6 +333,7 @@
         this->parts[part].position.reset();
         co_return;
     }
+    const auto asked_at = time_with_suspension();
     const auto snapshot = co_await this->read_part(part);
     if (!snapshot) {
         co_return;
@@ -331,6 +350,7 @@
     else {
         this->apply_snapshot(part, *snapshot);
     }
+    this->confirm_configuration(part, asked_at);
 }
 
 watch_backoff store_feed::backoff() const
@@ -641,6 +661,7 @@
     request.leaving = this->state.cluster.servers().leaving_reports(now);
     request.crashes = this->state.suspects.take_own_reports(now);
     request.load_cursor = known_leader ? this->load_cursor : 0;
+    const auto asked_at = time_with_suspension();
     auto answer = co_await this->poll(leader, std::move(request));
     if (!answer) {
         if (this->hint == leader) {
@@ -657,7 +678,7 @@
     this->state.merge_crash_reports(answer->crashes);
     const auto leaving = std::exchange(answer->leaving, {});
     this->load_cursor = answer->load_cursor;
-    this->apply_answer(std::move(*answer));
+    this->apply_answer(std::move(*answer), asked_at);
     for (const auto& one : leaving) {
         this->state.record_leaving(one, leader.host.value);
     }
@@ -681,12 +702,13 @@
     const leader_hint reader{.term = this->state.cluster.term().term,
                              .host = name,
                              .peer_address = this->state.cluster.find_host(name)->peer_address};
+    const auto asked_at = time_with_suspension();
     auto answer = co_await this->poll(reader, this->make_poll_request());
     if (!answer) {
         ++this->next_reader;
         co_return false;
     }
-    this->apply_answer(std::move(*answer));
+    this->apply_answer(std::move(*answer), asked_at);
     co_return true;
 }
 
@@ -713,13 +735,17 @@
     co_return decoded;
 }
 
-void store_feed::apply_answer(follow_answer answer)
+/// `asked_at` is when the poll was sent, including time spent suspended.
+void store_feed::apply_answer(follow_answer answer, monotonic_time asked_at)
 {
     this->state.store.observe_era(answer.era);
     this->state.cluster.expect_return_within(answer.return_left, monotonic_time::clock::now());
     for (auto& part : answer.parts) {
         this->apply(part.part, std::move(part.changes));
     }
+    if (answer.configuration_age) {
+        this->confirm_configuration(store_part::operators, asked_at - *answer.configuration_age);
+    }
     this->relied_on_others = true;
     this->followed_until = monotonic_time::clock::now() + this->pace().longest_wait() +
                            follow_response_margin + follow_overlap;
@@ -808,6 +834,7 @@
 asio::awaitable<std::optional<follow_answer>> store_feed::answer(const follow_request& request)
 {
     const auto until = monotonic_time::clock::now() + this->pace().longest_wait();
+    const auto arrived_at = time_with_suspension();
     const auto has_changes = [](const part_changes& one) {
         return one.changes.whole || !one.changes.changes.empty();
     };
@@ -819,6 +846,11 @@
             if (out) {
                 out->return_left =
                     this->state.cluster.servers().return_time_left(monotonic_time::clock::now());
+                const auto confirmed_at = this->state.freshness.confirmed_at();
+                if (confirmed_at != monotonic_time{}) {
+                    out->configuration_age =
+                        std::chrono::ceil<milliseconds>(arrived_at - confirmed_at);
+                }
             }
             co_return out;
         }
--- a/src/direct/stored_records.cpp
+++ b/src/direct/stored_records.cpp
@@ -115,6 +115,7 @@
     out.set_peer_address(host.peer_address);
     out.set_processor_percent(host.processor_percent);
     out.set_failure_domain(host.failure_domain.value);
+    out.set_secret(host.secret);
     return out.SerializeAsString();
 }
 
@@ -169,7 +170,8 @@
                      .lifetime = in->lifetime(),
                      .peer_address = in->peer_address(),
                      .processor_percent = in->processor_percent(),
-                     .failure_domain = {in->failure_domain()}};
+                     .failure_domain = {in->failure_domain()},
+                     .secret = in->secret()};
 }
 
 } // namespace figreach::direct
--- a/test/direct/path_fixture.h
+++ b/test/direct/path_fixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <future>
 #include <thread>
 
@@ -18,6 +19,7 @@
 #include "figreach/direct/runtime/leadership.h"
 #include "figreach/direct/runtime/peer_server.h"
 #include "figreach/runtime/event_loop.h"
+#include "figreach/runtime/suspension_clock.h"
 
 namespace figreach::direct {
 
@@ -209,6 +211,58 @@
         done.get_future().wait();
     }
 
+    /// Puts a changed configuration into force.
+    void change_configuration(const std::function<void(route_configuration&)>& change)
+    {
+        this->run_on_loop([&] {
+            ++this->configuration.version;
+            change(this->configuration);
+            (void)this->state.cluster.apply(store_part::operators,
+                                            {configuration_update{this->configuration}}, true,
+                                            monotonic_time::clock::now());
+        });
+    }
+
+    /// Marks the keys of the divided service as moving, so that requests wait, or as owned again.
+    void set_moving(bool moving)
+    {
+        this->run_on_loop([&] {
+            this->keys.ranges.front().moving = moving;
+            const store_revision revision{{}, ++this->keys_revision};
+            (void)this->state.cluster.apply(
+                store_part::own, {key_table_update{.table = this->keys, .revision = revision}},
+                false, monotonic_time::clock::now());
+            this->state.cluster_changed.notify();
+        });
+    }
+
+    /// Gives the host a share of the limit of a tenant, as the leader does. Requests wait for a
+    /// share from then on.
+    void give_share(const tenant_share& share)
+    {
+        this->run_on_loop([&] {
+            const auto now = time_with_suspension();
+            const auto report = this->state.quota.make_report(now);
+            this->state.quota.apply({.number = report.number,
+                                     .lifetime = std::chrono::minutes{1},
+                                     .hosts = 1,
+                                     .tenants = {share}},
+                                    now, now);
+            this->state.quota_answered = true;
+        });
+    }
+
+    /// Sets after which time a revoked API key must not be accepted, and when the host last learned
+    /// that it has the newest configuration.
+    void limit_revocation(milliseconds limit, milliseconds confirmed_ago)
+    {
+        this->run_on_loop([&] {
+            this->state.settings.revocation_limit = limit;
+            this->state.freshness = {};
+            this->state.freshness.confirm(time_with_suspension() - confirmed_ago);
+        });
+    }
+
     /// Number of servers that ended while they ran a request, as the host knows.
     std::size_t lost_sends(const request_digest& digest)
     {
@@ -254,6 +308,16 @@
     }
 
 private:
+    void run_on_loop(const std::function<void()>& task)
+    {
+        std::promise<void> done;
+        asio::post(this->io, [&] {
+            task();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
     static tcp::socket call(asio::io_context& own, const std::string& request,
                             const tcp::endpoint& endpoint)
     {
@@ -302,7 +366,7 @@
 
     void set_cluster_state(const std::string& server_address)
     {
-        route_configuration all;
+        auto& all = this->configuration;
         all.version = 1;
         all.routes = {make_route("/read/", request_kind::idempotent, "lessons"),
                       make_route("/order/", request_kind::non_idempotent, "lessons"),
@@ -317,7 +381,8 @@
             .name = {"lessons"}, .most_connections = 100, .divided_by_key = true};
         all.services[{"media"}] = {.name = {"media"}};
         all.services[{"empty"}] = {.name = {"empty"}};
-        key_table table = make_key_table({"lessons"});
+        auto& table = this->keys;
+        table = make_key_table({"lessons"});
         table.ranges.front() = {
             .keys = table.ranges.front().keys, .owner = {"s1"}, .owner_lifetime = 1, .fence = 1};
         table.next_fence = 2;
@@ -355,6 +420,9 @@
     peer_server peers;
     tcp::acceptor acceptor{this->io, {asio::ip::make_address("127.0.0.1"), 0}};
     std::thread io_thread;
+    route_configuration configuration;
+    key_table keys;
+    std::int64_t keys_revision = 1;
 };
 
 inline std::string request(const std::string& line, const std::string& more = "")
