--- a/src/direct/placement/server_sample.cpp
+++ b/src/direct/placement/server_sample.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// If half of the servers can take the request, all draws fail once in 256 times.
+/// If half of the servers can take the request, two are found in 96 of 100 choices.
 constexpr std::size_t max_draws = 8;
 
 } // namespace
@@ -30,7 +30,8 @@
             best_cost = *own;
         }
     }
-    return best;
+    // A single one would be no choice, and loads are uneven just when few servers are left.
+    return found == wanted ? best : std::nullopt;
 }
 
 } // namespace figreach::direct
--- a/src/direct/runtime/request_selection.cpp
+++ b/src/direct/runtime/request_selection.cpp
@@ -97,8 +97,8 @@
 }
 
 /// Picks the cheaper of two random servers that accept new work (power of two choices). Only if
-/// none of a few drawn ones can take the request are all of them checked. If this host can connect
-/// to none of them, a peer picks one.
+/// fewer than two of a few drawn ones can take the request are all of them checked. If this host
+/// can connect to none of them, a peer picks one.
 request_runner::choice request_runner::select_any_server(const caller_request& request)
 {
     const auto records = this->state.cluster.servers_for_new_work(this->service->name);
