Rows of the new test tables have initial values

Cause: the linter refuses aggregates with members that a default constructor leaves open. Change: initial values in three tables; the expectations are the same.

--- a/test/direct/identification_test.cpp
+++ b/test/direct/identification_test.cpp
@@ -21,11 +21,11 @@
 }
 
 struct identification_row {
-    const char* name;
+    const char* name = "";
     std::optional<std::string> key;
-    bool is_public;
-    bool is_fresh;
-    const char* expected; ///< tenant or error; empty if the request needs no key
+    bool is_public = false;
+    bool is_fresh = true;
+    const char* expected = ""; ///< tenant or error; empty if the request needs no key
 };
 
 const identification_row rows[] = {
--- a/test/direct/quota_test.cpp
+++ b/test/direct/quota_test.cpp
@@ -10,9 +10,9 @@
 namespace {
 
 struct load_row {
-    const char* name;
+    const char* name = "";
     quota_load load;
-    double least_run; ///< of the requests within the limit; 0: not checked
+    double least_run = 0.0; ///< of the requests within the limit; 0: not checked
 };
 
 /// The bound and the 95 % are those that the users state.
--- a/test/direct/tenant_request_test.cpp
+++ b/test/direct/tenant_request_test.cpp
@@ -170,11 +170,11 @@
 }
 
 struct limit_row {
-    const char* name;
+    const char* name = "";
     std::optional<tenant_share> share;
-    const char* request;
-    const char* status;
-    const char* error;
+    const char* request = "";
+    const char* status = "";
+    const char* error = "";
 };
 
 const limit_row limit_rows[] = {
