--- a/test/direct/path_fixture.h
+++ b/test/direct/path_fixture.h
@@ -178,24 +178,20 @@
 
     void fail_connections(milliseconds silence)
     {
-        std::promise<void> done;
-        asio::post(this->io, [this, &done, silence] {
+        this->run_on_loop([this, silence] {
             const auto now = monotonic_time::clock::now();
             this->state.path = server_path{{}, now - silence};
             for (const auto* server : {"a", "b", "c"}) {
                 this->state.record_server_unreachable({server});
             }
-            done.set_value();
         });
-        done.get_future().wait();
     }
 
     /// Makes the host find that servers, of which none is known here, ended while they ran a
     /// request.
     void lose_sends(const request_digest& digest, std::size_t servers)
     {
-        std::promise<void> done;
-        asio::post(this->io, [&] {
+        this->run_on_loop([&] {
             const auto now = monotonic_time::clock::now();
             for (std::size_t i = 0; i < servers; ++i) {
                 const server_lifetime ended{.server = {"ended" + std::to_string(i)}, .lifetime = 1};
@@ -206,9 +202,7 @@
                                               .sent_at = now},
                                              now);
             }
-            done.set_value();
         });
-        done.get_future().wait();
     }
 
     /// Puts a changed configuration into force.
