A server's 503 is passed on for an order only if it says that the order did not run

Cause: the decoder knew whether an answer has Figreach-Not-Run, but an answer without it was a plain answer, whatever its status, and accept_answer passed it on. The trace of the case shows the 503 of the server at the caller 0 to 1 ms after the server had sent it; retries, the deadline and other hosts had no part in it.

Change: what an answer says about the execution is decided once, where it is decoded (execution_claim). handle_answer maps it to what the caller gets: an order or upload with an unconfirmed refusal gets 502 unconfirmed_refusal of the host's own, without signature and Retry-After. The host that has passed the order on decides in the same way, so that an earlier build in between changes nothing. Requests that may be repeated get the server's status as before. A signed 421 without Figreach-Not-Run is no longer taken for "not run".

The fix works because no status that reads as "not run" is left for an order without the server's word: the claim is the only input of the decision besides the status and the kind of request.

--- a/include/figreach/direct/runtime/request_runner.h
+++ b/include/figreach/direct/runtime/request_runner.h
@@ -90,7 +90,7 @@
     [[nodiscard]] attempt_event handle_forwarded_answer(exchange_result result,
                                                         const forwarded_answer_head& head,
                                                         const target& to);
-    [[nodiscard]] attempt_event accept_answer(http_response received);
+    [[nodiscard]] attempt_event accept_answer(const exchange_result& result);
     /// Sends the message on a connection of the pool and gives the connection back if it can be
     /// used again.
     boost::asio::awaitable<exchange_result> exchange_on(connection_pool& pool,
--- a/include/figreach/error_kind.h
+++ b/include/figreach/error_kind.h
@@ -48,6 +48,7 @@
     stale_configuration,
     tenant_share_unknown,
     outcome_unknown,
+    unconfirmed_refusal,
     answer_incomplete,
     retry_budget_spent,
     repeat_in_progress,
--- a/include/figreach/request_attempts.h
+++ b/include/figreach/request_attempts.h
@@ -58,9 +58,11 @@
     bool replayable = true; ///< no part of the caller's body has been consumed
 };
 
-/// The connection was lost after `sending` and before the answer began.
+/// The connection was lost after `sending` and before the answer began, or the answer cannot be
+/// used.
 struct lost_after_send {
     bool replayable = true;
+    error_kind kind = error_kind::outcome_unknown; ///< reported if the request is not idempotent
 };
 
 /// The first part of the answer was forwarded to the caller.
--- a/src/direct/runtime/exchange.cpp
+++ b/src/direct/runtime/exchange.cpp
@@ -145,7 +145,7 @@
         if (!reusable) {
             reset(upstream);
         }
-        if (head.not_run) {
+        if (head.claim == execution_claim::not_run) {
             co_return exchange_result{.outcome = exchange_outcome::not_run,
                                       .answer = std::move(answer),
                                       .head = std::move(head)};
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "figreach/direct/answer_handling.h"
 #include "figreach/direct/owner_wait.h"
 #include "figreach/direct/runtime/forwarding.h"
 #include "figreach/direct/tenants/identification.h"
@@ -64,6 +65,11 @@
     return answer.result_int() >= first_server_error;
 }
 
+bool is_failure(const exchange_result& result)
+{
+    return is_failure(result.answer.result_int(), result.head.claim);
+}
+
 /// Whether another host may serve a request that a host has refused like this.
 bool is_refused_by_host(error_kind kind)
 {
@@ -497,8 +503,7 @@
         this->state.server_processes.record_answer(to.address, connected_at, sent_at);
     }
     const auto latency = monotonic_time::clock::now() - now;
-    if (result.outcome != exchange_outcome::answered || is_server_error(result.answer) ||
-        result.head.leaving) {
+    if (result.outcome != exchange_outcome::answered || is_failure(result) || result.head.leaving) {
         this->log_send(request, to, result, latency);
     }
     if (result.head.leaving) {
@@ -621,8 +626,11 @@
         if (answer_of(kind).ran == run_state::not_run) {
             return refused_not_run{.kind = kind, .retry_after = head.refusal->retry_after};
         }
-        return kind == error_kind::deadline_exceeded ? attempt_event{deadline_passed{}}
-                                                     : attempt_event{lost_after_send{}};
+        if (kind == error_kind::deadline_exceeded) {
+            return deadline_passed{};
+        }
+        return lost_after_send{
+            .kind = kind == error_kind::unconfirmed_refusal ? kind : error_kind::outcome_unknown};
     }
     switch (result.outcome) {
     case exchange_outcome::answered:
@@ -633,7 +641,7 @@
             }
             this->tried_servers.insert(head.server);
         }
-        return this->accept_answer(std::move(result.answer));
+        return this->accept_answer(result);
     case exchange_outcome::not_run:
         return refused_not_run{.kind = error_kind::server_refused,
                                .retry_after = refused_retry_delay};
@@ -647,17 +655,31 @@
     return lost_after_send{};
 }
 
-/// Keeps the answer for the caller unless another attempt may succeed.
-attempt_event request_runner::accept_answer(http_response received)
+/// Keeps the answer for the caller if it may get it.
+attempt_event request_runner::accept_answer(const exchange_result& result)
 {
-    if (is_server_error(received)) {
-        this->server_error = received;
-        if (may_repeat(this->route->kind)) {
+    struct visitor {
+        request_runner& runner;
+        const http_response& received;
+
+        attempt_event operator()(const relay_answer&) const
+        {
+            this->runner.answer = this->received;
+            return answer_ended{};
+        }
+        attempt_event operator()(const retry_or_relay&) const
+        {
+            this->runner.server_error = this->received;
             return lost_after_send{};
         }
-    }
-    this->answer = std::move(received);
-    return answer_ended{};
+        attempt_event operator()(const replace_answer& one) const
+        {
+            return lost_after_send{.kind = one.kind};
+        }
+    };
+    const auto handling =
+        handle_answer(result.answer.result_int(), result.head.claim, may_repeat(this->route->kind));
+    return std::visit(visitor{.runner = *this, .received = result.answer}, handling);
 }
 
 /// Updates the tracked load of the server and maps the exchange result to an attempt event.
@@ -676,8 +698,8 @@
     }
     switch (result.outcome) {
     case exchange_outcome::answered:
-        record(is_server_error(result.answer) ? send_outcome::failed : send_outcome::answered);
-        return this->accept_answer(result.answer);
+        record(is_failure(result) ? send_outcome::failed : send_outcome::answered);
+        return this->accept_answer(result);
     case exchange_outcome::not_run: {
         record(send_outcome::shed);
         const bool other_server =
@@ -739,7 +761,7 @@
                {"ending", "unreachable"}});
 }
 
-/// Logs an attempt that failed, returned a server error or was answered by a leaving server.
+/// Logs an attempt that failed, returned a failure or was answered by a leaving server.
 void request_runner::log_send(const caller_request& request, const target& to,
                               const exchange_result& result, nanoseconds latency) const
 {
--- a/src/error_kind.cpp
+++ b/src/error_kind.cpp
@@ -69,6 +69,9 @@
      "The entry host has not learned yet how much of the tenant's limit it may use; come back."},
     {outcome_unknown, "outcome_unknown", 502, unknown, false,
      "The backend server was lost after the request was sent; look whether it took effect."},
+    {unconfirmed_refusal, "unconfirmed_refusal", 502, unknown, false,
+     "The backend server refused the request without saying that it did not run; look whether it "
+     "took effect."},
     {answer_incomplete, "answer_incomplete", 0, unknown, false,
      "The answer broke off; the connection is closed without a clean end."},
     {retry_budget_spent, "retry_budget_spent", 503, not_run, true,
--- a/src/request_attempts.cpp
+++ b/src/request_attempts.cpp
@@ -100,7 +100,7 @@
         return this->fail(error_kind::deadline_exceeded, milliseconds{0});
     }
     if (!this->facts.idempotent || !event.replayable) {
-        return this->fail(error_kind::outcome_unknown, milliseconds{0});
+        return this->fail(event.kind, milliseconds{0});
     }
     return this->retry_or_fail(error_kind::outcome_unknown, milliseconds{0}, now);
 }
--- a/test/error_kind_test.cpp
+++ b/test/error_kind_test.cpp
@@ -54,6 +54,7 @@
     {stale_configuration, "stale_configuration", 503, not_run, true},
     {tenant_share_unknown, "tenant_share_unknown", 503, not_run, true},
     {outcome_unknown, "outcome_unknown", 502, unknown, false},
+    {unconfirmed_refusal, "unconfirmed_refusal", 502, unknown, false},
     {answer_incomplete, "answer_incomplete", 0, unknown, false},
     {retry_budget_spent, "retry_budget_spent", 503, not_run, true},
     {repeat_in_progress, "repeat_in_progress", 409, unknown, true},
--- a/test/platform/request_codec_test.cpp
+++ b/test/platform/request_codec_test.cpp
@@ -4,6 +4,7 @@
 
 using namespace figreach;
 using namespace figreach::platform;
+using direct::execution_claim;
 
 namespace http = boost::beast::http;
 
@@ -102,19 +103,35 @@
 struct answer_row {
     const char* name;
     unsigned status;
-    const char* field;
-    const char* value;
-    bool not_run;
+    std::vector<std::pair<const char*, const char*>> fields;
+    execution_claim claim;
     bool encoded;
 };
 
+const std::pair<const char*, const char*> says_not_run{"Figreach-Not-Run", "1"};
+const std::pair<const char*, const char*> signed_by_server{"Figreach-Server-Stamp", "3e1b"};
+
 const answer_row answer_rows[] = {
-    {"plain", 200, "X-Any", "1", false, false},
-    {"another server", 421, "X-Any", "1", true, false},
-    {"shed", 503, "Figreach-Not-Run", "1", true, false},
-    {"failed", 503, "X-Any", "1", false, false},
-    {"encoded", 200, "Content-Encoding", "gzip", false, true},
-    {"plain encoding", 200, "Content-Encoding", "identity", false, false},
+    {"plain", 200, {}, execution_claim::none, false},
+    {"signed", 200, {signed_by_server}, execution_claim::none, false},
+    {"another server", 421, {}, execution_claim::not_run, false},
+    {"another server that says so", 421, {says_not_run}, execution_claim::not_run, false},
+    {"421 of a request that ran", 421, {signed_by_server}, execution_claim::unconfirmed, false},
+    {"shed", 503, {says_not_run}, execution_claim::not_run, false},
+    {"shed by rate", 429, {says_not_run}, execution_claim::not_run, false},
+    {"malformed", 400, {says_not_run}, execution_claim::not_run, false},
+    {"503", 503, {}, execution_claim::unconfirmed, false},
+    {"signed 503", 503, {signed_by_server}, execution_claim::unconfirmed, false},
+    {"429", 429, {}, execution_claim::unconfirmed, false},
+    {"signed 429", 429, {signed_by_server}, execution_claim::unconfirmed, false},
+    {"408", 408, {}, execution_claim::unconfirmed, false},
+    {"signed 408", 408, {signed_by_server}, execution_claim::unconfirmed, false},
+    {"500", 500, {}, execution_claim::none, false},
+    {"502", 502, {}, execution_claim::none, false},
+    {"504", 504, {}, execution_claim::none, false},
+    {"conflict", 409, {}, execution_claim::none, false},
+    {"encoded", 200, {{"Content-Encoding", "gzip"}}, execution_claim::none, true},
+    {"plain encoding", 200, {{"Content-Encoding", "identity"}}, execution_claim::none, false},
 };
 
 struct refusal_row {
@@ -216,9 +233,11 @@
 {
     for (const auto& row : answer_rows) {
         http::fields fields;
-        fields.set(row.field, row.value);
+        for (const auto& [field, value] : row.fields) {
+            fields.set(field, value);
+        }
         const auto head = decode_answer_head(row.status, fields);
-        CHECK_EQUAL_TEXT(row.not_run, head.not_run, row.name);
+        CHECK_TRUE_TEXT(row.claim == head.claim, row.name);
         CHECK_EQUAL_TEXT(row.encoded, head.encoded, row.name);
     }
 }
