A client attempt is sent to as many backend servers as its route allows

A route that allows three servers got two.

Cause: route_rule::max_servers was decoded and decided over nothing; make_attempt_settings set two sends for every route. The trace shows each of these requests at two servers, one of which had lost its answer; no host had passed any of them on.

Change: server_allowance counts the servers to which a client attempt has been sent, also those of hosts that send for this one, and one unknown server where such a host does not name it or is lost. It is asked when a server is chosen, before another host is asked to send, and before a failure is repeated. The number of sends follows the limit, but is at least two, since a repeat at the owner of a key needs no further server. Retries after attempts in which nothing was sent stay at two.

The fix works because every path to a server passes one of the three places, and the allowance only ever counts up. Routes with `attempts` 2 are served as before, with one exception: a server that refused a request which another host had sent there is not tried again, as for own sends.

Ruled out: a limit on sends. It would refuse the repeat at the same owner and would not stop a host that another one asks to send.

--- a/include/figreach/direct/runtime/request_runner.h
+++ b/include/figreach/direct/runtime/request_runner.h
@@ -2,7 +2,6 @@
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -16,6 +15,7 @@
 #include "figreach/direct/runtime/exchange.h"
 #include "figreach/direct/runtime/host_context.h"
 #include "figreach/direct/runtime/store_feed.h"
+#include "figreach/direct/server_allowance.h"
 #include "figreach/error_kind.h"
 #include "figreach/request_attempts.h"
 #include "request_codec.h"
@@ -90,6 +90,8 @@
     [[nodiscard]] attempt_event handle_forwarded_answer(exchange_result result,
                                                         const forwarded_answer_head& head,
                                                         const target& to);
+    void record_forwarded(const forwarded_answer_head& head);
+    void limit_replay(attempt_event& event, const caller_request& request) const;
     [[nodiscard]] attempt_event accept_answer(const exchange_result& result);
     /// Sends the message on a connection of the pool and gives the connection back if it can be
     /// used again.
@@ -166,7 +168,7 @@
     bool counted = false;        ///< against the limit of the tenant, by this host
     monotonic_time arrived_at{}; ///< including time spent suspended
     monotonic_time deadline{};
-    std::set<backend_server_id> tried_servers;
+    server_allowance allowance{1}; ///< of the route of this request
     std::optional<http_response> answer;
     std::optional<http_response> server_error; ///< latest 5xx response, in case a retry fails
     shared_connection upstream;
--- a/include/figreach/error_kind.h
+++ b/include/figreach/error_kind.h
@@ -40,6 +40,7 @@
     server_refused,
     server_unreachable,
     no_server_path,
+    attempts_exhausted,
     request_suspected,
     request_held,
     no_configuration,
--- a/include/figreach/request_attempts.h
+++ b/include/figreach/request_attempts.h
@@ -20,6 +20,8 @@
 
 struct attempt_settings {
     std::uint32_t max_sends = 3;
+    /// Retries after attempts in which nothing was sent.
+    std::uint32_t max_unsent_retries = 3;
     milliseconds max_route_wait{500}; ///< upper bound of all waits for a route combined
     milliseconds route_poll{20};
     milliseconds retry_after{200};
@@ -142,10 +144,12 @@
     [[nodiscard]] attempt_action on(const deadline_passed& event, monotonic_time now);
     [[nodiscard]] attempt_action on(const caller_left& event, monotonic_time now);
 
-    [[nodiscard]] attempt_action fail(error_kind kind, milliseconds retry_after);
     /// A retry draws on the budget unless nothing has been sent to a backend server yet.
     enum class retry_cost : std::uint8_t { budgeted, free };
 
+    [[nodiscard]] attempt_action fail(error_kind kind, milliseconds retry_after);
+    [[nodiscard]] attempt_action retry_unsent_or_fail(error_kind kind, milliseconds retry_after,
+                                                      monotonic_time now, retry_cost cost);
     [[nodiscard]] attempt_action retry_or_fail(error_kind kind, milliseconds retry_after,
                                                monotonic_time now,
                                                retry_cost cost = retry_cost::budgeted);
@@ -157,6 +161,7 @@
     std::uint64_t random_state;
     std::uint32_t sent = 0;
     std::uint32_t retries = 0;
+    std::uint32_t unsent_retries = 0; ///< after attempts in which nothing was sent
     milliseconds total_route_wait{0};
     bool byte_sent = false;
     bool may_have_run = false; ///< the connection of an earlier send was lost
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -29,12 +29,16 @@
 /// For which a request waits for a share of its tenant's limit.
 constexpr milliseconds share_wait{250};
 constexpr milliseconds min_time_left{5}; ///< a request with less time left is not sent
+constexpr std::uint32_t min_max_sends = 2;
+constexpr std::uint32_t max_unsent_retries = 2;
 constexpr unsigned first_server_error = 500;
 
 attempt_settings make_attempt_settings(const route_rule& route)
 {
     attempt_settings out;
-    out.max_sends = 2;
+    // A repeat at the owner of a key needs no further backend server.
+    out.max_sends = std::max(min_max_sends, route.max_servers);
+    out.max_unsent_retries = max_unsent_retries;
     out.max_route_wait = longest_owner_wait(route.latency_objective);
     out.route_poll = owner_poll_interval;
     out.retry_after = refused_retry_delay;
@@ -70,6 +74,13 @@
     return is_failure(result.answer.result_int(), result.head.claim);
 }
 
+/// Whether a host that refused a request like this may have sent it to a server.
+bool may_have_been_sent(error_kind kind)
+{
+    return answer_of(kind).ran != run_state::not_run || kind == error_kind::server_refused ||
+           kind == error_kind::stale_route;
+}
+
 /// Whether another host may serve a request that a host has refused like this.
 bool is_refused_by_host(error_kind kind)
 {
@@ -163,6 +174,7 @@
     if (const auto refusal = co_await this->count_against_limit(request)) {
         co_return *refusal;
     }
+    this->allowance = server_allowance{this->route->max_servers};
     const attempt_facts facts{.idempotent = may_repeat(this->route->kind),
                               .divided_by_key = this->service->divided_by_key,
                               .forwarded = request.forwarded.has_value(),
@@ -181,9 +193,7 @@
         }
         auto event =
             this->cancelled ? attempt_event{caller_left{}} : co_await this->attempt(request);
-        if (auto* lost = std::get_if<lost_after_send>(&event)) {
-            lost->replayable = lost->replayable && !this->is_suspected(request);
-        }
+        this->limit_replay(event, request);
         if (this->identity_refusal) {
             co_return *this->identity_refusal;
         }
@@ -490,7 +500,7 @@
         load_tracker.on_finished(to.id, send_outcome::cancelled, {}, std::nullopt, now);
         co_return deadline_passed{};
     }
-    this->tried_servers.insert(to.id);
+    this->allowance.record(to.id);
     this->state.path.on_sent();
     const auto connected_at = connection->connected_at;
     const auto sent_at = time_with_suspension();
@@ -542,6 +552,10 @@
 /// certain that the request did not run.
 asio::awaitable<attempt_event> request_runner::forward(const caller_request& request, target to)
 {
+    if (!this->allowance.allows_another()) {
+        co_return rejected_locally{.kind = error_kind::attempts_exhausted,
+                                   .retry_after = refused_retry_delay};
+    }
     this->last_target = to;
     bool passed_on = false;
     const auto connect_until =
@@ -612,12 +626,42 @@
                                .retry_after = refused_retry_delay};
 }
 
+/// Records the server to which a peer has sent the request. The peer sends it to one at most.
+void request_runner::record_forwarded(const forwarded_answer_head& head)
+{
+    if (head.refusal && !may_have_been_sent(head.refusal->kind)) {
+        return;
+    }
+    if (head.server.empty()) {
+        this->allowance.record_unknown();
+    }
+    else {
+        this->allowance.record(head.server);
+    }
+}
+
+/// Forbids another send that would go to more servers than the route allows, or that would crash
+/// another server.
+void request_runner::limit_replay(attempt_event& event, const caller_request& request) const
+{
+    if (auto* lost = std::get_if<lost_after_send>(&event)) {
+        const bool same_server =
+            this->service->divided_by_key && this->allowance.allows(this->last_target.id);
+        lost->replayable = lost->replayable && !this->is_suspected(request) &&
+                           (same_server || this->allowance.allows_another());
+    }
+    if (auto* refused = std::get_if<refused_not_run>(&event)) {
+        refused->replayable = refused->replayable && this->allowance.allows_another();
+    }
+}
+
 /// Maps the answer of a peer to an attempt event.
 attempt_event request_runner::handle_forwarded_answer(exchange_result result,
                                                       const forwarded_answer_head& head,
                                                       const target& to)
 {
     const auto now = monotonic_time::clock::now();
+    this->record_forwarded(head);
     if (head.refusal) {
         const auto kind = head.refusal->kind;
         if (kind == error_kind::server_at_limit) {
@@ -639,7 +683,6 @@
             if (result.head.leaving) {
                 this->state.record_leaving(head.server, "forwarded answer");
             }
-            this->tried_servers.insert(head.server);
         }
         return this->accept_answer(result);
     case exchange_outcome::not_run:
--- a/src/direct/runtime/request_selection.cpp
+++ b/src/direct/runtime/request_selection.cpp
@@ -66,6 +66,10 @@
     if (this->state.refused.must_wait(this->service->name, *request.head.key, range.fence, now)) {
         return wait_for_change{};
     }
+    if (!this->allowance.allows(range.owner)) {
+        return host_refusal{.kind = error_kind::attempts_exhausted,
+                            .retry_after = refused_retry_delay};
+    }
     auto out = this->make_target(*record);
     out.fence = range.fence;
     auto admitted = this->admit(request, std::move(out));
@@ -155,7 +159,7 @@
     const auto& id = record.entry.id;
     const bool is_other =
         request.forwarded && !request.forwarded->server.empty() && request.forwarded->server != id;
-    if (is_other || this->tried_servers.contains(id)) {
+    if (is_other || this->allowance.was_sent_to(id) || !this->allowance.allows(id)) {
         return std::nullopt;
     }
     if (!this->can_reach(id, record.entry.address)) {
--- a/src/error_kind.cpp
+++ b/src/error_kind.cpp
@@ -53,6 +53,8 @@
      "No connection to the backend server could be made."},
     {no_server_path, "no_server_path", 503, not_run, true,
      "The entry host reaches no backend server at this moment; come back through another."},
+    {attempts_exhausted, "attempts_exhausted", 503, not_run, true,
+     "The request was refused by as many backend servers as its route allows; come back."},
     {request_suspected, "request_suspected", 503, not_run, true,
      "Backend servers ended while they ran this request; it is sent alone, come back."},
     {request_held, "request_held", 503, not_run, false,
--- a/src/request_attempts.cpp
+++ b/src/request_attempts.cpp
@@ -63,7 +63,7 @@
 
 attempt_action request_attempts::on(const rejected_locally& event, monotonic_time now)
 {
-    return this->retry_or_fail(event.kind, event.retry_after, now);
+    return this->retry_unsent_or_fail(event.kind, event.retry_after, now, retry_cost::budgeted);
 }
 
 attempt_action request_attempts::on(const not_sent& event, monotonic_time now)
@@ -71,7 +71,8 @@
     if (now >= this->facts.deadline) {
         return this->fail(error_kind::deadline_expired, milliseconds{0});
     }
-    return this->retry_or_fail(event.kind, this->settings.retry_after, now, retry_cost::free);
+    return this->retry_unsent_or_fail(event.kind, this->settings.retry_after, now,
+                                      retry_cost::free);
 }
 
 attempt_action request_attempts::on(const sending&, monotonic_time now)
@@ -149,6 +150,16 @@
     return reply_with_error{.kind = kind, .retry_after = retry_after};
 }
 
+attempt_action request_attempts::retry_unsent_or_fail(error_kind kind, milliseconds retry_after,
+                                                      monotonic_time now, retry_cost cost)
+{
+    if (this->unsent_retries >= this->settings.max_unsent_retries) {
+        return this->fail(kind, retry_after);
+    }
+    ++this->unsent_retries;
+    return this->retry_or_fail(kind, retry_after, now, cost);
+}
+
 attempt_action request_attempts::retry_or_fail(error_kind kind, milliseconds retry_after,
                                                monotonic_time now, retry_cost cost)
 {
--- a/test/direct/path_fixture.h
+++ b/test/direct/path_fixture.h
@@ -217,6 +217,42 @@
         });
     }
 
+    /// Sets how many backend servers a request of any route may be sent to.
+    void limit_servers(std::uint32_t max_servers)
+    {
+        this->change_configuration([max_servers](route_configuration& all) {
+            for (auto& route : all.routes) {
+                route.max_servers = max_servers;
+            }
+        });
+    }
+
+    /// Registers a further backend server.
+    void add_server(const std::string& id, const std::string& service, const std::string& address)
+    {
+        this->run_on_loop([&] {
+            const server_update entry{
+                {.id = {id}, .lifetime = 1, .service = {service}, .address = address, .slots = 4}};
+            (void)this->state.cluster.apply(store_part::servers, {entry}, false,
+                                            monotonic_time::clock::now());
+        });
+    }
+
+    /// Gives the keys of the divided service to another backend server.
+    void move_keys(const std::string& owner)
+    {
+        this->run_on_loop([&] {
+            auto& range = this->keys.ranges.front();
+            range.owner = {owner};
+            range.fence = this->keys.next_fence++;
+            const store_revision revision{{}, ++this->keys_revision};
+            (void)this->state.cluster.apply(
+                store_part::own, {key_table_update{.table = this->keys, .revision = revision}},
+                false, monotonic_time::clock::now());
+            this->state.cluster_changed.notify();
+        });
+    }
+
     /// Marks the keys of the divided service as moving, so that requests wait, or as owned again.
     void set_moving(bool moving)
     {
--- a/test/error_kind_test.cpp
+++ b/test/error_kind_test.cpp
@@ -46,6 +46,7 @@
     {server_refused, "server_refused", 503, not_run, true},
     {server_unreachable, "server_unreachable", 502, not_run, true},
     {no_server_path, "no_server_path", 503, not_run, true},
+    {attempts_exhausted, "attempts_exhausted", 503, not_run, true},
     {request_suspected, "request_suspected", 503, not_run, true},
     {request_held, "request_held", 503, not_run, false},
     {no_configuration, "no_configuration", 503, not_run, true},
