A refusal after a lost send leaves open whether the request ran

A read whose first send was lost got 401 "not_run" if its API key was revoked before the second send, though the first one may have run.

Cause: the refusal for the key, and the one for a deadline that expires just before a send, were returned beside request_attempts, which alone knows of the earlier send.

Change: request_attempts::reported_kind gives the kind to report, and both paths ask it. Requests that are not idempotent are not concerned: they are sent again only if the earlier send did not run.

--- a/include/figreach/request_attempts.h
+++ b/include/figreach/request_attempts.h
@@ -130,6 +130,9 @@
     /// Whether the upstream may have received a part of the current or last send.
     [[nodiscard]] bool may_run() const;
     [[nodiscard]] std::uint32_t sends() const;
+    /// The kind to report for a request that ends with an error of this kind: the outcome is
+    /// unknown if an earlier send may have run, whatever has ended the last attempt.
+    [[nodiscard]] error_kind reported_kind(error_kind kind) const;
 
 private:
     [[nodiscard]] attempt_action on(const route_resolved& event, monotonic_time now);
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -195,12 +195,16 @@
             this->cancelled ? attempt_event{caller_left{}} : co_await this->attempt(request);
         this->limit_replay(event, request);
         if (this->identity_refusal) {
-            co_return *this->identity_refusal;
+            co_return host_refusal{.kind =
+                                       this->attempts->reported_kind(this->identity_refusal->kind),
+                                   .retry_after = this->identity_refusal->retry_after};
         }
         action = this->attempts->handle(event, monotonic_time::clock::now());
         if (std::holds_alternative<no_action>(action)) {
             // The deadline expired just before sending.
-            co_return host_refusal{.kind = error_kind::deadline_expired, .retry_after = {}};
+            co_return host_refusal{.kind =
+                                       this->attempts->reported_kind(error_kind::deadline_expired),
+                                   .retry_after = {}};
         }
         if (std::holds_alternative<conclude>(action)) {
             if (this->cancelled || !this->answer) {
--- a/src/request_attempts.cpp
+++ b/src/request_attempts.cpp
@@ -36,6 +36,12 @@
     return this->sent;
 }
 
+error_kind request_attempts::reported_kind(error_kind kind) const
+{
+    const bool is_untrue = this->may_have_run && answer_of(kind).ran == run_state::not_run;
+    return is_untrue ? error_kind::outcome_unknown : kind;
+}
+
 attempt_action request_attempts::on(const route_resolved& event, monotonic_time now)
 {
     if (now >= this->facts.deadline) {
@@ -144,10 +150,9 @@
 attempt_action request_attempts::fail(error_kind kind, milliseconds retry_after)
 {
     this->finished = true;
-    if (this->may_have_run && answer_of(kind).ran == run_state::not_run) {
-        return reply_with_error{.kind = error_kind::outcome_unknown};
-    }
-    return reply_with_error{.kind = kind, .retry_after = retry_after};
+    const auto reported = this->reported_kind(kind);
+    return reply_with_error{.kind = reported,
+                            .retry_after = reported == kind ? retry_after : milliseconds{0}};
 }
 
 attempt_action request_attempts::retry_unsent_or_fail(error_kind kind, milliseconds retry_after,
