Soak: servers that answer orders they ran as if they had not, and limits of servers for each route

It is drawn on its own, so that the other faults of a seed stay the same. Routes that configurations add allow one, two and three servers in turn; a request that runs on more breaks the new promise servers_limited.

--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -12,11 +12,13 @@
 constexpr std::uint64_t same_target_percent = 30;
 constexpr std::uint64_t same_kind_percent = 15;
 constexpr std::uint64_t max_targets = 64;
-/// All kinds but store_restored, crashing_request and server_resting, which are added on their own.
-constexpr auto drawn_kinds = static_cast<std::uint64_t>(fault_kind::kinds) - 3;
+/// All kinds but store_restored, crashing_request, server_resting and server_refusals_unconfirmed,
+/// which are added on their own.
+constexpr auto drawn_kinds = static_cast<std::uint64_t>(fault_kind::kinds) - 4;
 constexpr std::uint64_t restore_seed_offset = 1U << 20U;
 constexpr std::uint64_t crash_seed_offset = 1U << 21U;
 constexpr std::uint64_t rest_seed_offset = 1U << 22U;
+constexpr std::uint64_t unconfirmed_seed_offset = 1U << 23U;
 
 fault_kind drawn_kind(std::uint64_t number)
 {
@@ -42,22 +44,23 @@
     }
 }
 
-/// Drawn on their own, as restores are.
-void add_rests(std::vector<planned_fault>& plan, const plan_settings& settings)
+/// Faults of servers that are drawn on their own, as restores are.
+void add_server_faults(std::vector<planned_fault>& plan, const plan_settings& settings,
+                       fault_kind kind, milliseconds mean_interval, std::uint64_t seed_offset)
 {
-    std::uint64_t state = settings.seed + rest_seed_offset;
+    std::uint64_t state = settings.seed + seed_offset;
     const auto draw = [&state](milliseconds below) {
         return milliseconds{static_cast<std::int64_t>(next_random(state) %
                                                       static_cast<std::uint64_t>(below.count()))};
     };
-    auto at = settings.earliest_start + draw(settings.mean_rest_interval);
+    auto at = settings.earliest_start + draw(mean_interval);
     while (at < settings.latest_start) {
         plan.push_back({.at = at,
-                        .kind = fault_kind::server_resting,
+                        .kind = kind,
                         .target = static_cast<std::uint32_t>(next_random(state) % max_targets),
                         .duration = settings.min_duration +
                                     draw(settings.max_duration - settings.min_duration)});
-        at += draw(2 * settings.mean_rest_interval);
+        at += draw(2 * mean_interval);
     }
 }
 
@@ -135,6 +138,8 @@
         return "crashing_request";
     case fault_kind::server_resting:
         return "server_resting";
+    case fault_kind::server_refusals_unconfirmed:
+        return "server_refusals_unconfirmed";
     case fault_kind::kinds:
         break;
     }
@@ -167,7 +172,10 @@
         add_restores(out, settings);
     }
     add_crashing_requests(out, settings);
-    add_rests(out, settings);
+    add_server_faults(out, settings, fault_kind::server_resting, settings.mean_rest_interval,
+                      rest_seed_offset);
+    add_server_faults(out, settings, fault_kind::server_refusals_unconfirmed,
+                      settings.mean_unconfirmed_interval, unconfirmed_seed_offset);
     std::stable_sort(out.begin(), out.end(),
                      [](const auto& left, const auto& right) { return left.at < right.at; });
     return out;
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -35,7 +35,9 @@
     configuration_changed, ///< a route is added
     crashing_request,      ///< crashes servers that run it, and is repeated until the run ends
     server_resting,        ///< turns requests away for `duration` and wants none for that time
-    kinds,                 ///< number of enumerators above
+    /// For `duration`, runs some requests and answers them with a status that reads as "not run".
+    server_refusals_unconfirmed,
+    kinds, ///< number of enumerators above
 };
 
 [[nodiscard]] const char* name_of(fault_kind kind);
@@ -49,11 +51,12 @@
 
 struct plan_settings {
     std::uint64_t seed = 1;
-    milliseconds earliest_start{1500};        ///< no fault starts earlier
-    milliseconds latest_start{12000};         ///< no fault starts at this time or later
-    bool store_restores = true;               ///< whether the store comes back from copies
-    milliseconds mean_restore_interval{4000}; ///< between two restores of the store
-    milliseconds mean_rest_interval{2500};    ///< between the rests of two servers
+    milliseconds earliest_start{1500};            ///< no fault starts earlier
+    milliseconds latest_start{12000};             ///< no fault starts at this time or later
+    bool store_restores = true;                   ///< whether the store comes back from copies
+    milliseconds mean_restore_interval{4000};     ///< between two restores of the store
+    milliseconds mean_rest_interval{2500};        ///< between the rests of two servers
+    milliseconds mean_unconfirmed_interval{2500}; ///< between servers that refuse like this
     milliseconds mean_interval{350}; ///< between the starts of two faults, which may overlap
     milliseconds min_duration{300};  ///< of faults that have a duration
     milliseconds max_duration{4000};
--- a/soak/promise_checks.cpp
+++ b/soak/promise_checks.cpp
@@ -30,6 +30,8 @@
     switch (which) {
     case promise::ran_once:
         return "ran_once";
+    case promise::servers_limited:
+        return "servers_limited";
     case promise::refusal_true:
         return "refusal_true";
     case promise::answer_own:
@@ -89,6 +91,20 @@
     }
 }
 
+void promise_checks::started_at(const std::string& id, const std::string& server)
+{
+    const auto request = this->known.find(id);
+    if (request == this->known.end()) {
+        return;
+    }
+    auto& entry = request->second;
+    const bool is_new = entry.servers.insert(server).second;
+    if (is_new && entry.servers.size() > entry.sent.max_servers) {
+        this->record(promise::servers_limited,
+                     id + " ran on " + std::to_string(entry.servers.size()) + " servers");
+    }
+}
+
 void promise_checks::finished(const request_result& result)
 {
     ++this->counts[result.status];
--- a/soak/promise_checks.h
+++ b/soak/promise_checks.h
@@ -15,9 +15,10 @@
 /// Guarantees that the documentation gives to callers or operators. Each comment states the
 /// violation that is reported.
 enum class promise : std::uint8_t {
-    ran_once,       ///< a non-idempotent request ran more than once
-    refusal_true,   ///< a refusal said "not run", and the request ran
-    answer_own,     ///< an answer belongs to another request or was altered
+    ran_once,        ///< a non-idempotent request ran more than once
+    servers_limited, ///< a request ran on more backend servers than its route allows
+    refusal_true,    ///< a refusal said "not run", and the request ran
+    answer_own,      ///< an answer belongs to another request or was altered
     request_known,  ///< a backend server ran a request that was not sent, or a body of another size
     one_owner,      ///< two backend servers held a key and both started requests on it
     one_holder,     ///< two backend servers held a key for longer than the allowed overlap
@@ -53,6 +54,7 @@
     std::string identity;
     std::string host; ///< process that it was sent to
     monotonic_time sent_at{};
+    std::uint32_t max_servers = 2; ///< that its route allows
 };
 
 /// What requests with the same identity did to backend servers.
@@ -83,6 +85,8 @@
 public:
     void sent(const sent_request& request);
     void executed(const std::string& id, std::uint64_t body_bytes);
+    /// A backend server has begun to run the request.
+    void started_at(const std::string& id, const std::string& server);
     void finished(const request_result& result);
     /// A backend server has read a request, which it may still refuse. `in_touch` tells whether
     /// the sending host has been without a fault of its own, of the store and of the link to the
@@ -123,6 +127,7 @@
     struct known_request {
         sent_request sent;
         std::uint32_t runs = 0;
+        std::set<std::string> servers; ///< that ran it
         bool refused = false;
     };
 
--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -16,6 +16,7 @@
 constexpr milliseconds store_delay{300};
 constexpr milliseconds link_delay{150};
 constexpr double lost_fraction = 0.3;
+constexpr double unconfirmed_fraction = 0.4;
 
 } // namespace
 
@@ -108,7 +109,8 @@
         co_await this->inject_store_fault(fault);
     }
     else if (fault.kind <= fault_kind::server_answers_lost ||
-             fault.kind == fault_kind::server_resting) {
+             fault.kind == fault_kind::server_resting ||
+             fault.kind == fault_kind::server_refusals_unconfirmed) {
         co_await this->inject_server_fault(fault);
     }
     else if (fault.kind <= fault_kind::link_silent) {
@@ -214,6 +216,9 @@
     case fault_kind::server_resting:
         server.faults.rest = fault.duration;
         break;
+    case fault_kind::server_refusals_unconfirmed:
+        server.faults.unconfirmed_refusals = unconfirmed_fraction;
+        break;
     case fault_kind::server_cut_from_store:
         server.faults.cut_from_store = true;
         break;
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -43,6 +43,7 @@
 constexpr milliseconds request_timeout{2000};
 constexpr milliseconds response_timeout = request_timeout + milliseconds{1500};
 constexpr milliseconds connect_timeout{1000};
+constexpr std::uint32_t default_max_servers = 2;
 constexpr std::uint64_t hot_key_count = 24; ///< keys that get half of the requests
 constexpr std::uint64_t max_request_body = 60'000;
 constexpr auto crash_prefix = "/crash/";
@@ -56,6 +57,13 @@
 /// Clock rate of every second backend server, relative to real time.
 constexpr double slow_clock_rate = 0.98;
 
+/// Of the route that a configuration version adds: 1, 2 and 3 in turn.
+std::uint32_t max_servers_of_probe(std::uint64_t version)
+{
+    constexpr std::uint64_t limits = 3;
+    return static_cast<std::uint32_t>((version - 1) % limits) + 1;
+}
+
 } // namespace
 
 soak_run::soak_run(soak_settings settings_)
@@ -109,7 +117,8 @@
 void soak_run::write_configuration()
 {
     json::array resources;
-    const auto add_route = [&](const std::string& path, const char* kind, const char* service) {
+    const auto add_route = [&](const std::string& path, const char* kind, const char* service,
+                               std::uint32_t max_servers = default_max_servers) {
         resources.push_back(json::object{{"type", "routes"},
                                          {"metadata", json::object{{"name", "r" + path}}},
                                          {"spec", json::object{{"host", caller_host},
@@ -118,7 +127,7 @@
                                                                {"route_type", kind},
                                                                {"timeout_s", 2},
                                                                {"latency_target_s", 0.5},
-                                                               {"attempts", 2},
+                                                               {"attempts", max_servers},
                                                                {"priority", 1}}}});
     };
     const auto add_service = [&](const char* service, bool keyed) {
@@ -137,7 +146,7 @@
     add_route("crash/read", "safe", keyed_service);
     add_route("crash/upload", "upload", unkeyed_service);
     for (std::uint64_t i = 1; i <= this->version; ++i) {
-        add_route("v" + std::to_string(i), "safe", unkeyed_service);
+        add_route("v" + std::to_string(i), "safe", unkeyed_service, max_servers_of_probe(i));
     }
     add_service(keyed_service, true);
     add_service(unkeyed_service, false);
@@ -175,6 +184,7 @@
 {
     const auto now = monotonic_time::clock::now();
     this->checks.executed(what.request_id, what.body_bytes);
+    this->checks.started_at(what.request_id, server.id());
     if (!what.key) {
         return;
     }
@@ -318,6 +328,7 @@
     if (chosen == route::probe) {
         out.version = 1 + draw(this->version);
         path = "/v" + std::to_string(out.version) + "/";
+        out.sent.max_servers = max_servers_of_probe(out.version);
     }
     else if (!out.sent.idempotent) {
         path = chosen == route::order ? "/order/" : "/upload/";
--- a/test/soak/promise_checks_test.cpp
+++ b/test/soak/promise_checks_test.cpp
@@ -70,6 +70,21 @@
          checks.executed("a", 0);
      },
      {}},
+    {"a read that ran on one server too many",
+     [](promise_checks& checks) {
+         checks.sent({.id = "a", .max_servers = 1});
+         checks.started_at("a", "x");
+         checks.started_at("a", "x");
+         checks.started_at("a", "y");
+     },
+     {promise::servers_limited}},
+    {"a read that ran on as many servers as allowed",
+     [](promise_checks& checks) {
+         checks.sent({.id = "a", .max_servers = 2});
+         checks.started_at("a", "x");
+         checks.started_at("a", "y");
+     },
+     {}},
     {"an order that was refused after it had run",
      [](promise_checks& checks) {
          order(checks);
