Answers of other hosts are moved into place

The body of an answer that another host had passed on was copied once more since the handling of unconfirmed refusals.

--- a/include/figreach/direct/runtime/request_runner.h
+++ b/include/figreach/direct/runtime/request_runner.h
@@ -92,7 +92,7 @@
                                                         const target& to);
     void record_forwarded(const forwarded_answer_head& head);
     void limit_replay(attempt_event& event, const caller_request& request) const;
-    [[nodiscard]] attempt_event accept_answer(const exchange_result& result);
+    [[nodiscard]] attempt_event accept_answer(http_response received, execution_claim claim);
     /// Sends the message on a connection of the pool and gives the connection back if it can be
     /// used again.
     boost::asio::awaitable<exchange_result> exchange_on(connection_pool& pool,
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -688,7 +688,7 @@
                 this->state.record_leaving(head.server, "forwarded answer");
             }
         }
-        return this->accept_answer(result);
+        return this->accept_answer(std::move(result.answer), result.head.claim);
     case exchange_outcome::not_run:
         return refused_not_run{.kind = error_kind::server_refused,
                                .retry_after = refused_retry_delay};
@@ -703,20 +703,20 @@
 }
 
 /// Keeps the answer for the caller if it may get it.
-attempt_event request_runner::accept_answer(const exchange_result& result)
+attempt_event request_runner::accept_answer(http_response received, execution_claim claim)
 {
     struct visitor {
         request_runner& runner;
-        const http_response& received;
+        http_response& received;
 
         attempt_event operator()(const relay_answer&) const
         {
-            this->runner.answer = this->received;
+            this->runner.answer = std::move(this->received);
             return answer_ended{};
         }
         attempt_event operator()(const retry_or_relay&) const
         {
-            this->runner.server_error = this->received;
+            this->runner.server_error = std::move(this->received);
             return lost_after_send{};
         }
         attempt_event operator()(const replace_answer& one) const
@@ -725,8 +725,8 @@
         }
     };
     const auto handling =
-        handle_answer(result.answer.result_int(), result.head.claim, may_repeat(this->route->kind));
-    return std::visit(visitor{.runner = *this, .received = result.answer}, handling);
+        handle_answer(received.result_int(), claim, may_repeat(this->route->kind));
+    return std::visit(visitor{.runner = *this, .received = received}, handling);
 }
 
 /// Updates the tracked load of the server and maps the exchange result to an attempt event.
@@ -746,7 +746,7 @@
     switch (result.outcome) {
     case exchange_outcome::answered:
         record(is_failure(result) ? send_outcome::failed : send_outcome::answered);
-        return this->accept_answer(result);
+        return this->accept_answer(result.answer, result.head.claim);
     case exchange_outcome::not_run: {
         record(send_outcome::shed);
         const bool other_server =
--- a/test/direct/route_attempts_test.cpp
+++ b/test/direct/route_attempts_test.cpp
@@ -204,6 +204,7 @@
         return answer(status, own_id + "Connection: close\r\n" + fields, "");
     };
     const std::string of_m1 = "X-Figreach-Server: m1\r\n";
+    const auto from_m1 = own_id + signature + of_m1 + "Connection: close\r\n";
     const auto refused = refusal("503 Full", of_m1 + "X-Figreach-Refusal: server_refused\r\n");
     const auto unknown = refusal("502 Bad", of_m1 + "X-Figreach-Refusal: outcome_unknown\r\n");
     const auto overloaded = refusal("503 Full", "X-Figreach-Refusal: overloaded\r\n");
@@ -219,8 +220,7 @@
         {"without servers, one", cut_off, 1, "HTTP/1.1 200", 2},
     };
     for (const auto& row : rows) {
-        const auto last =
-            answer("200 OK", own_id + signature + of_m1 + "Connection: close\r\n", "plan");
+        const auto last = answer("200 OK", from_m1, "plan");
         scripted_server peer{{row.answer, last, last}};
         const fixture_host own{.name = {"h1"}, .peer_address = local_address(free_port())};
         const fixture_host other{.name = {"h2"}, .peer_address = peer.address()};
