--- a/include/figreach/direct/runtime/request_runner.h
+++ b/include/figreach/direct/runtime/request_runner.h
@@ -168,7 +168,7 @@
     bool counted = false;        ///< against the limit of the tenant, by this host
     monotonic_time arrived_at{}; ///< including time spent suspended
     monotonic_time deadline{};
-    server_allowance allowance{1}; ///< of the route of this request
+    server_allowance allowance{1}; ///< set from the route once it is known
     std::optional<http_response> answer;
     std::optional<http_response> server_error; ///< latest 5xx response, in case a retry fails
     shared_connection upstream;
--- a/include/figreach/request_attempts.h
+++ b/include/figreach/request_attempts.h
@@ -57,13 +57,14 @@
 struct refused_not_run {
     error_kind kind = error_kind::server_refused;
     milliseconds retry_after{0};
-    bool replayable = true; ///< no part of the caller's body has been consumed
+    /// No part of the caller's body has been consumed, and the limits allow another send.
+    bool replayable = true;
 };
 
 /// The connection was lost after `sending` and before the answer began, or the answer cannot be
 /// used.
 struct lost_after_send {
-    bool replayable = true;
+    bool replayable = true;                        ///< as in `refused_not_run`
     error_kind kind = error_kind::outcome_unknown; ///< reported if the request is not idempotent
 };
 
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -29,15 +29,15 @@
 /// For which a request waits for a share of its tenant's limit.
 constexpr milliseconds share_wait{250};
 constexpr milliseconds min_time_left{5}; ///< a request with less time left is not sent
-constexpr std::uint32_t min_max_sends = 2;
+constexpr std::uint32_t min_send_limit = 2;
 constexpr std::uint32_t max_unsent_retries = 2;
 constexpr unsigned first_server_error = 500;
 
 attempt_settings make_attempt_settings(const route_rule& route)
 {
     attempt_settings out;
-    // A repeat at the owner of a key needs no further backend server.
-    out.max_sends = std::max(min_max_sends, route.max_servers);
+    // A repeat at the owner of a key does not count against the limit of servers.
+    out.max_sends = std::max(min_send_limit, route.max_servers);
     out.max_unsent_retries = max_unsent_retries;
     out.max_route_wait = longest_owner_wait(route.latency_objective);
     out.route_poll = owner_poll_interval;
@@ -644,8 +644,8 @@
     }
 }
 
-/// Forbids another send that would go to more servers than the route allows, or that would crash
-/// another server.
+/// Forbids another send if it would go to more servers than the route allows, or if the request is
+/// suspected of crashing servers.
 void request_runner::limit_replay(attempt_event& event, const caller_request& request) const
 {
     if (auto* lost = std::get_if<lost_after_send>(&event)) {
--- a/test/direct/late_refusal_test.cpp
+++ b/test/direct/late_refusal_test.cpp
@@ -25,10 +25,7 @@
     path_fixture* host = nullptr;
     std::atomic<std::size_t> arrivals{0};
     fake_upstream server{[&](tcp::socket& socket) {
-        boost::system::error_code failed_read;
-        asio::streambuf buffer;
-        asio::read_until(socket, buffer, "\r\n\r\n", failed_read);
-        if (failed_read) {
+        if (!read_request(socket)) {
             return;
         }
         ++arrivals;
--- a/test/direct/path_fixture.h
+++ b/test/direct/path_fixture.h
@@ -52,6 +52,15 @@
     return out;
 }
 
+/// Reads a request without a body. Returns false if the other side closes the connection first.
+inline bool read_request(tcp::socket& socket)
+{
+    boost::system::error_code failed;
+    asio::streambuf buffer;
+    asio::read_until(socket, buffer, "\r\n\r\n", failed);
+    return !failed;
+}
+
 /// A backend server that answers each request with the next scripted response. It closes the
 /// connection instead of sending an empty response and when no responses are left.
 class scripted_server {
@@ -217,6 +226,14 @@
         });
     }
 
+    /// Adds a route for one more prefix.
+    void add_route(const char* prefix, request_kind kind, const char* service)
+    {
+        this->change_configuration([&](route_configuration& all) {
+            all.routes.push_back(make_route(prefix, kind, service));
+        });
+    }
+
     /// Sets how many backend servers a request of any route may be sent to.
     void limit_servers(std::uint32_t max_servers)
     {
--- a/test/direct/route_attempts_test.cpp
+++ b/test/direct/route_attempts_test.cpp
@@ -50,18 +50,6 @@
     std::vector<std::unique_ptr<scripted_server>> all;
 };
 
-/// Adds a route of requests that are not idempotent to the service without keys.
-void add_change_route(path_fixture& host)
-{
-    host.change_configuration([](route_configuration& all) {
-        auto route = all.routes[2];
-        route.name = "/change/";
-        route.prefix = "/change/";
-        route.kind = request_kind::non_idempotent;
-        all.routes.push_back(route);
-    });
-}
-
 struct limit_row {
     const char* name;
     std::uint32_t max_servers;
@@ -101,7 +89,7 @@
         const server_group group{row.answer};
         path_fixture host{group.first_address()};
         group.register_at(host);
-        add_change_route(host);
+        host.add_route("/change/", request_kind::non_idempotent, "media");
         host.limit_servers(row.max_servers);
         const bool forwarded = row.request.find(from_h2) != std::string::npos;
         const auto response =
@@ -146,10 +134,7 @@
         scripted_server next{{success("plan")}};
         path_fixture* host = nullptr;
         fake_upstream first{[&](tcp::socket& socket) {
-            boost::system::error_code failed_read;
-            asio::streambuf buffer;
-            asio::read_until(socket, buffer, "\r\n\r\n", failed_read);
-            if (failed_read) {
+            if (!read_request(socket)) {
                 return;
             }
             host->move_keys("s2");
@@ -170,10 +155,7 @@
     std::atomic<std::size_t> arrivals{0};
     path_fixture* host = nullptr;
     const auto raise_limit_and_close = [&](tcp::socket& socket) {
-        boost::system::error_code failed_read;
-        asio::streambuf buffer;
-        asio::read_until(socket, buffer, "\r\n\r\n", failed_read);
-        if (failed_read) {
+        if (!read_request(socket)) {
             return;
         }
         ++arrivals;
--- a/test/direct/unconfirmed_refusal_test.cpp
+++ b/test/direct/unconfirmed_refusal_test.cpp
@@ -64,17 +64,6 @@
            response.find("Retry-After:") == std::string::npos;
 }
 
-void add_upload_route(path_fixture& host)
-{
-    host.change_configuration([](route_configuration& all) {
-        auto route = all.routes[1];
-        route.name = "/upload/";
-        route.prefix = "/upload/";
-        route.kind = request_kind::upload;
-        all.routes.push_back(route);
-    });
-}
-
 } // namespace
 
 TEST_GROUP(unconfirmed_refusal_test){};
@@ -86,7 +75,7 @@
     for (const auto& row : answer_rows) {
         scripted_server server{std::vector<std::string>(3, row.answer)};
         path_fixture host{server.address()};
-        add_upload_route(host);
+        host.add_route("/upload/", request_kind::upload, "lessons");
         const bool forwarded = row.request.find(from_h2) != std::string::npos;
         const auto response =
             forwarded ? host.exchange_as_peer(row.request) : host.exchange(row.request);
