A request that is passed on runs only as both hosts route it

Cause: a host that cannot connect to a server passes the request on, and the host that takes it looked up the route and drew the service anew, with the configuration that it has. Neither the request nor the answer named a version.

Change: a request that is passed on names the service that the first host has selected and the version of its configuration. The other host keeps that service if its route names it and refuses with configuration_mismatch, not run, otherwise; the first host asks the next one, or refuses with a time to come back. An API key that only an earlier configuration refuses is a mismatch too. A host of an earlier build names no service and is served as before; one that takes a request ignores the fields, so that the fault remains between builds during an upgrade.

The fix works because the service is decided once, by the host that took the request, and a server is reached only if the configuration of the sending host allows the same, whichever is newer: neither host shows the effect of a version that it does not have.

Ruled out: comparing versions, which refuses all that is passed on while any change spreads, and serving by the newer version, after which the older host would seem to go back.

--- a/include/figreach/direct/forwarding_head.h
+++ b/include/figreach/direct/forwarding_head.h
@@ -17,6 +17,10 @@
     std::optional<request_digest> digest = std::nullopt; ///< unknown from older hosts
     /// Shows that the sender has counted the request against its tenant's limit; may be empty.
     std::string counted = {};
+    /// The service that the sender has selected; empty from hosts that let the receiver select it.
+    service_id service = {};
+    /// Version of the sender's configuration; 0 from hosts that do not name it.
+    std::uint64_t configuration = 0;
 };
 
 } // namespace figreach::direct
--- a/include/figreach/direct/route_table.h
+++ b/include/figreach/direct/route_table.h
@@ -30,10 +30,16 @@
     /// Selects the service of the next request of a route, in proportion to the weights. Returns
     /// null if the configuration does not say how to serve it. `route` must be readable.
     [[nodiscard]] const service_rule* next_service(const route_rule& route);
+    /// Returns the service with this name if requests of the route may go to it and it is readable,
+    /// otherwise null.
+    [[nodiscard]] const service_rule* find_service(const route_rule& route,
+                                                   const service_id& name) const;
 
 private:
     using by_prefix = std::unordered_map<std::string, std::size_t>;
 
+    [[nodiscard]] const service_rule* find_readable(const service_id& name) const;
+
     std::shared_ptr<const route_configuration> all;
     tenant_table tenants_by_key;
     std::unordered_map<std::string, by_prefix> hosts;
--- a/include/figreach/direct/runtime/request_runner.h
+++ b/include/figreach/direct/runtime/request_runner.h
@@ -76,6 +76,12 @@
     using choice = std::variant<target, wait_for_change, host_refusal>;
 
     boost::asio::awaitable<request_outcome> serve(const caller_request& request);
+    /// These return the refusal if the request may not run.
+    [[nodiscard]] std::optional<host_refusal> find_route(const caller_request& request);
+    [[nodiscard]] std::optional<host_refusal> select_service(const caller_request& request);
+    [[nodiscard]] host_refusal configuration_mismatch();
+    [[nodiscard]] bool may_be_outdated(const host_refusal& refusal,
+                                       const caller_request& request) const;
     [[nodiscard]] std::optional<host_refusal> identify_tenant(const caller_request& request);
     /// Counts the request against the limit of its tenant; waits a short time for a share of it.
     /// Returns the refusal if the request may not run.
--- a/include/figreach/error_kind.h
+++ b/include/figreach/error_kind.h
@@ -47,6 +47,7 @@
     unreadable_route,
     invalid_api_key,
     stale_configuration,
+    configuration_mismatch,
     tenant_share_unknown,
     outcome_unknown,
     unconfirmed_refusal,
--- a/src/direct/route_table.cpp
+++ b/src/direct/route_table.cpp
@@ -85,7 +85,19 @@
         *richest -= sum;
         chosen = static_cast<std::size_t>(richest - credit.begin());
     }
-    const auto found = this->all->services.find(parts[chosen].service);
+    return this->find_readable(parts[chosen].service);
+}
+
+const service_rule* route_table::find_service(const route_rule& route, const service_id& name) const
+{
+    const bool is_part = std::any_of(route.services.begin(), route.services.end(),
+                                     [&](const auto& part) { return part.service == name; });
+    return is_part ? this->find_readable(name) : nullptr;
+}
+
+const service_rule* route_table::find_readable(const service_id& name) const
+{
+    const auto found = this->all->services.find(name);
     const bool usable =
         found != this->all->services.end() && found->second.unreadable_field.empty();
     return usable ? &found->second : nullptr;
--- a/src/direct/runtime/forwarding.cpp
+++ b/src/direct/runtime/forwarding.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <utility>
 
 #include "figreach/direct/runtime/exchange.h"
@@ -20,6 +21,8 @@
 constexpr auto digest_field = "X-Figreach-Digest";
 constexpr auto server_field = "X-Figreach-Server";
 constexpr auto counted_field = "X-Figreach-Counted";
+constexpr auto service_field = "X-Figreach-Selected-Service";
+constexpr auto configuration_field = "X-Figreach-Configuration";
 constexpr auto refusal_field = "X-Figreach-Refusal";
 constexpr auto retry_after_field = "X-Figreach-Retry-After-Ms";
 constexpr std::uint32_t max_hops = 1;
@@ -34,9 +37,10 @@
 }
 
 /// Returns 0 if the text is not a number.
-std::uint32_t bounded_number(const std::string& text, std::uint32_t max)
+template <class Number>
+Number bounded_number(const std::string& text, Number max)
 {
-    std::uint32_t out = 0;
+    Number out = 0;
     const auto [parsed, failed] = std::from_chars(text.data(), text.data() + text.size(), out);
     return failed == std::errc{} ? std::min(out, max) : 0;
 }
@@ -61,6 +65,11 @@
     if (!head.counted.empty()) {
         out.set(counted_field, head.counted);
     }
+    out.erase(service_field);
+    if (!head.service.empty()) {
+        out.set(service_field, head.service.value);
+    }
+    out.set(configuration_field, std::to_string(head.configuration));
     platform::encode_time_left(out, time_left);
     return out;
 }
@@ -72,6 +81,9 @@
     auto server = take_field(message, server_field);
     const auto digest = parse_request_digest(take_field(message, digest_field));
     auto counted = take_field(message, counted_field);
+    auto service = take_field(message, service_field);
+    const auto configuration = bounded_number(take_field(message, configuration_field),
+                                              std::numeric_limits<std::uint64_t>::max());
     if (from.empty()) {
         return std::nullopt;
     }
@@ -79,7 +91,9 @@
                            .hops_left = hops,
                            .server = {std::move(server)},
                            .digest = digest,
-                           .counted = std::move(counted)};
+                           .counted = std::move(counted),
+                           .service = {std::move(service)},
+                           .configuration = configuration};
 }
 
 http_response encode_forwarded_answer(request_outcome outcome, const std::string& request_id,
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -87,6 +87,17 @@
     return kind == error_kind::host_stopping || kind == error_kind::no_server_path;
 }
 
+/// Whether another host has passed the request on and selected its service.
+bool is_routed(const caller_request& request)
+{
+    return request.forwarded && !request.forwarded->service.empty();
+}
+
+host_refusal unreadable_route()
+{
+    return {.kind = error_kind::unreadable_route, .retry_after = unreadable_route_retry_delay};
+}
+
 std::string outcome_text(const request_outcome& outcome)
 {
     if (const auto* answer = std::get_if<http_response>(&outcome)) {
@@ -137,27 +148,16 @@
         co_return host_refusal{.kind = error_kind::no_configuration,
                                .retry_after = no_owner_retry_delay};
     }
-    const auto& message = request.message;
-    const auto host = message[http::field::host];
-    const auto path = message.target();
-    const std::string_view host_name{host.data(), host.size()};
-    const host_refusal unreadable{.kind = error_kind::unreadable_route,
-                                  .retry_after = unreadable_route_retry_delay};
-    this->route = this->routes->find(host_name, {path.data(), path.size()});
-    if (this->route == nullptr && this->routes->may_have_unreadable_route(host_name)) {
-        co_return unreadable;
-    }
-    if (this->route == nullptr) {
-        co_return host_refusal{.kind = error_kind::unknown_service, .retry_after = {}};
-    }
     this->arrived_at = time_with_suspension();
-    if (const auto refusal = this->identify_tenant(request)) {
+    if (const auto refusal = this->find_route(request)) {
         co_return *refusal;
     }
-    const bool readable = this->route->unreadable_field.empty();
-    this->service = readable ? this->routes->next_service(*this->route) : nullptr;
-    if (this->service == nullptr) {
-        co_return unreadable;
+    if (const auto refusal = this->identify_tenant(request)) {
+        co_return this->may_be_outdated(*refusal, request) ? this->configuration_mismatch()
+                                                           : *refusal;
+    }
+    if (const auto refusal = this->select_service(request)) {
+        co_return *refusal;
     }
     if (this->service->divided_by_key && !request.head.key) {
         co_return host_refusal{.kind = error_kind::missing_key, .retry_after = {}};
@@ -225,6 +225,56 @@
     }
 }
 
+std::optional<host_refusal> request_runner::find_route(const caller_request& request)
+{
+    const auto host = request.message[http::field::host];
+    const auto path = request.message.target();
+    const std::string_view host_name{host.data(), host.size()};
+    this->route = this->routes->find(host_name, {path.data(), path.size()});
+    if (this->route != nullptr) {
+        return std::nullopt;
+    }
+    if (is_routed(request)) {
+        return this->configuration_mismatch();
+    }
+    if (this->routes->may_have_unreadable_route(host_name)) {
+        return unreadable_route();
+    }
+    return host_refusal{.kind = error_kind::unknown_service, .retry_after = {}};
+}
+
+/// Takes the service that another host has selected, so that the request is served only as both
+/// configurations allow, or selects one.
+std::optional<host_refusal> request_runner::select_service(const caller_request& request)
+{
+    const bool readable = this->route->unreadable_field.empty();
+    if (is_routed(request)) {
+        const auto& name = request.forwarded->service;
+        this->service = readable ? this->routes->find_service(*this->route, name) : nullptr;
+        return this->service != nullptr ? std::nullopt
+                                        : std::optional{this->configuration_mismatch()};
+    }
+    this->service = readable ? this->routes->next_service(*this->route) : nullptr;
+    return this->service != nullptr ? std::nullopt : std::optional{unreadable_route()};
+}
+
+/// Whether the refusal of an API key may only show that the host that passed the request on has a
+/// newer configuration.
+bool request_runner::may_be_outdated(const host_refusal& refusal,
+                                     const caller_request& request) const
+{
+    return refusal.kind == error_kind::invalid_api_key && request.forwarded &&
+           request.forwarded->configuration > this->routes->configuration().version;
+}
+
+/// The refusal if the host that passed the request on has decided by a configuration that does not
+/// agree with the one of this host.
+host_refusal request_runner::configuration_mismatch()
+{
+    return {.kind = error_kind::configuration_mismatch,
+            .retry_after = this->add_jitter(refused_retry_delay)};
+}
+
 /// Identifies the tenant by the newest configuration. Returns the refusal if the request may not
 /// run.
 std::optional<host_refusal> request_runner::identify_tenant(const caller_request& request)
@@ -562,6 +612,7 @@
     }
     this->last_target = to;
     bool passed_on = false;
+    auto refused_as = error_kind::no_server_path;
     const auto connect_until =
         std::min(this->deadline, monotonic_time::clock::now() + peers_connect_timeout);
     for (const auto& name : to.peers) {
@@ -598,7 +649,9 @@
                                                   ? counted_proof(this->state.secret.bytes,
                                                                   this->state.settings.name,
                                                                   request.head.request_id)
-                                                  : std::string{}};
+                                                  : std::string{},
+                                   .service = this->service->name,
+                                   .configuration = this->routes->configuration().version};
         const auto message =
             std::make_shared<http_request>(encode_forwarded(request, head, time_left));
         this->state.peers.on_sent(name, now);
@@ -620,11 +673,15 @@
             this->state.peers.on_failed(name, ended_at);
             continue;
         }
+        if (answer_head.refusal &&
+            answer_head.refusal->kind == error_kind::configuration_mismatch) {
+            refused_as = error_kind::configuration_mismatch;
+            continue;
+        }
         co_return this->handle_forwarded_answer(std::move(result), answer_head, to);
     }
     if (passed_on) {
-        co_return refused_not_run{.kind = error_kind::no_server_path,
-                                  .retry_after = refused_retry_delay};
+        co_return refused_not_run{.kind = refused_as, .retry_after = refused_retry_delay};
     }
     co_return rejected_locally{.kind = error_kind::no_server_path,
                                .retry_after = refused_retry_delay};
--- a/src/error_kind.cpp
+++ b/src/error_kind.cpp
@@ -67,6 +67,8 @@
      "Send one API key that the operators' configuration holds, as Authorization: Bearer KEY."},
     {stale_configuration, "stale_configuration", 503, not_run, true,
      "The entry host cannot confirm that the API key is still valid; come back through another."},
+    {configuration_mismatch, "configuration_mismatch", 503, not_run, true,
+     "The entry hosts that could serve the request have different configurations; come back."},
     {tenant_share_unknown, "tenant_share_unknown", 503, not_run, true,
      "The entry host has not learned yet how much of the tenant's limit it may use; come back."},
     {outcome_unknown, "outcome_unknown", 502, unknown, false,
--- a/test/direct/route_table_test.cpp
+++ b/test/direct/route_table_test.cpp
@@ -65,6 +65,38 @@
     }
 }
 
+struct service_row {
+    const char* service;
+    const char* route;
+    bool found;
+};
+
+const service_row service_rows[] = {
+    {"lessons", "/plans/7", true},  {"media", "/plans/7", false}, {"faulty", "/plans/7", false},
+    {"absent", "/plans/7", false},  {"none", "/plans/7", false},  {"media", "/split/7", true},
+    {"lessons", "/split/7", false},
+};
+
+TEST(route_table_test, finds_the_readable_services_of_a_route)
+{
+    auto all = sample_configuration();
+    all->services[{"faulty"}] = {.name = {"faulty"}, .unreadable_field = "spec.max_conns"};
+    for (const auto* service : {"faulty", "absent"}) {
+        all->routes[1].services.push_back({.service = {service}, .weight = 1});
+    }
+    auto split = all->routes[1];
+    split.prefix = "/split/";
+    split.services = {{.service = {"media"}, .weight = 0}};
+    all->routes.push_back(split);
+    const route_table table{all};
+    for (const auto& row : service_rows) {
+        const auto* route = table.find("a.example", row.route);
+        const auto* found = table.find_service(*route, {row.service});
+        CHECK_EQUAL_TEXT(row.found, found != nullptr, row.service);
+        CHECK_TRUE_TEXT(!row.found || found->name.value == row.service, row.service);
+    }
+}
+
 TEST(route_table_test, each_part_gets_its_share_at_any_moment)
 {
     CHECK_PROPERTY("counts differ from the weights by less than the number of parts",
--- a/test/error_kind_test.cpp
+++ b/test/error_kind_test.cpp
@@ -53,6 +53,7 @@
     {unreadable_route, "unreadable_route", 503, not_run, true},
     {invalid_api_key, "invalid_api_key", 401, not_run, false},
     {stale_configuration, "stale_configuration", 503, not_run, true},
+    {configuration_mismatch, "configuration_mismatch", 503, not_run, true},
     {tenant_share_unknown, "tenant_share_unknown", 503, not_run, true},
     {outcome_unknown, "outcome_unknown", 502, unknown, false},
     {unconfirmed_refusal, "unconfirmed_refusal", 502, unknown, false},
