Hosts ask servers whether they are cold while the store does not tell

Cause: hosts learned that a server is cold from its entry in the store alone, and entries do not change while the store does not answer.

Change: while a host may lack entries of servers (store_feed::may_lack_servers), it asks a server on its health path before it sends, unless that one has answered such a question in the last 300 ms (cold_checks). Requests at the same moment share a question; it uses the connection of the request. The word counts for the process that is known (server_directory::record_cold). The time between two sends to a cold server begins with the last send of any kind, since each of twelve hosts could send at once when it learned of the cold. server_cold lines and two counters show it.

The fix works because a host is at most 300 ms behind a server's word before each of its own sends, whatever the leader or other hosts know; questions never exceed the sends, whatever the number of hosts and servers.

Ruled out: one host that asks for all (during an outage the leader refuses polls, so that nobody hears of it), and asking at regular intervals (grows with hosts times servers).

--- a/include/figreach/direct/cluster_state.h
+++ b/include/figreach/direct/cluster_state.h
@@ -103,6 +103,9 @@
     /// Records what a server has said in an answer to this host or another one. Returns whether it
     /// was not known.
     bool record_leaving(const leaving_report& report, monotonic_time now);
+    /// Records for how long a server stays cold, as it has said in an answer to this host. Returns
+    /// whether it did not count as cold.
+    bool record_cold(const server_lifetime& server, milliseconds cold_for, monotonic_time now);
     /// Handles the return of the store after an outage of length `away`.
     void on_store_reconnected(milliseconds away, monotonic_time now);
     /// Handles the return of the store from an older copy. What servers and operators wrote since
--- a/include/figreach/direct/runtime/direct_host.h
+++ b/include/figreach/direct/runtime/direct_host.h
@@ -44,6 +44,8 @@
         std::atomic<std::uint64_t> limited_servers{0};
         std::atomic<std::uint64_t> resting_servers{0};
         std::atomic<std::uint64_t> rest_answers{0};
+        std::atomic<std::uint64_t> health_checks{0};
+        std::atomic<std::uint64_t> cold_answers{0};
         std::atomic<std::uint64_t> leaving_answers{0};
         std::atomic<std::uint64_t> suspected_requests{0};
         std::atomic<std::uint64_t> held_requests{0};
--- a/include/figreach/direct/runtime/host_context.h
+++ b/include/figreach/direct/runtime/host_context.h
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "figreach/direct/cluster_state.h"
+#include "figreach/direct/cold_checks.h"
 #include "figreach/direct/crash_suspects.h"
 #include "figreach/direct/direct_settings.h"
 #include "figreach/direct/peer_health.h"
@@ -66,6 +67,10 @@
     /// Logs each rest that is longer than what is known, and fields that cannot be read.
     void record_rest(const server_lifetime& server, const platform::answer_head& head,
                      monotonic_time now);
+    /// Records for how long a backend server has said in an answer that it stays cold. Logs when it
+    /// did not count as cold. `source` says which answer it was.
+    void record_cold(const server_lifetime& server, const platform::answer_head& head,
+                     const char* source);
     /// Merges what another host reports about the rates that backend servers accept.
     void merge_rate_limits(const std::vector<rate_limit_report>& reports, const host_id& from);
     /// Merges what another host reports about requests that crash backend servers.
@@ -114,7 +119,11 @@
     std::set<backend_server_id> invalid_rate_limits; ///< servers whose last field was invalid
     std::set<backend_server_id> invalid_rests;       ///< servers that sent an invalid time
     connection_pool server_connections;              ///< connections for caller requests
-    process_continuity server_processes;             ///< of the servers that answer this host
+    cold_checks cold;
+    change_signal cold_checked;          ///< notified when a check ends
+    std::uint64_t health_checks = 0;     ///< questions to servers whether they are cold
+    std::uint64_t cold_answers = 0;      ///< answers by which servers were found cold
+    process_continuity server_processes; ///< of the servers that answer this host
     /// Connections on which requests that may be repeated wait for their answers.
     std::set<std::shared_ptr<upstream_connection>> repeatable_exchanges;
     connection_pool peer_connections; ///< connections for requests passed to other hosts
--- a/include/figreach/direct/runtime/store_feed.h
+++ b/include/figreach/direct/runtime/store_feed.h
@@ -36,6 +36,9 @@
     [[nodiscard]] bool reads_for_others() const;
     /// The leader whose answers are currently relied on, if any.
     [[nodiscard]] std::optional<leader_hint> followed_leader() const;
+    /// Whether the store may hold newer entries of backend servers than this host knows, since
+    /// neither it nor another host has confirmed them lately.
+    [[nodiscard]] bool may_lack_servers(monotonic_time now) const;
     /// Returns and clears the loads that have not been reported yet.
     [[nodiscard]] std::vector<key_load_entry> take_loads();
     /// Counts a request for a key, to be reported to the leader.
--- a/include/figreach/direct/server_directory.h
+++ b/include/figreach/direct/server_directory.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <vector>
 
+#include "figreach/direct/crash_report.h"
 #include "figreach/direct/server_entry.h"
 #include "figreach/time.h"
 
@@ -19,12 +20,15 @@
     /// How long a record is kept after its entry ended, so that its keys can still be handed over.
     /// Longer than the platform lets a leaving server run.
     milliseconds forget_after{15000};
+    /// A longer cold time in an answer is believed for this long. The server can say so again.
+    milliseconds longest_cold{60000};
 };
 
 /// State of one backend server according to service discovery.
 struct server_record {
     server_entry entry;
-    monotonic_time cold_until{};                 ///< the server is warm if this is in the past
+    monotonic_time cold_until{};                 ///< according to its entry
+    monotonic_time said_cold_until{};            ///< according to its answers
     std::optional<monotonic_time> leaving_since; ///< it announced leaving or its entry ended
     bool said_leaving = false; ///< in an answer; no entry of the same lifetime takes that back
     std::optional<monotonic_time> ended_at;      ///< its entry ended
@@ -33,6 +37,8 @@
     bool address_claimed = false;
 };
 
+[[nodiscard]] bool is_cold(const server_record& record, monotonic_time now);
+
 /// Effect of one entry on the directory.
 enum class directory_change { stale, added, restarted, leaving, updated };
 
@@ -48,6 +54,9 @@
     /// Records what a server has said in an answer. Returns whether it was not known; it is ignored
     /// unless it concerns the known lifetime.
     bool record_leaving(const leaving_report& report, monotonic_time now);
+    /// Records for how long a server stays cold, as it has said in an answer. Returns whether it
+    /// did not count as cold; it is ignored unless it concerns the known lifetime.
+    bool record_cold(const server_lifetime& server, milliseconds cold_for, monotonic_time now);
     /// Servers that have said so in an answer and whose entries do not show it yet.
     [[nodiscard]] std::vector<leaving_report> leaving_reports(monotonic_time now) const;
     /// Removes the entries that ended in one batch of changes.
--- a/include/figreach/direct/server_load_tracker.h
+++ b/include/figreach/direct/server_load_tracker.h
@@ -54,7 +54,7 @@
     double failures = 0.0;                    ///< recent failures, exponentially decayed
     monotonic_time failed_at{};
     monotonic_time unreachable_until{};
-    std::optional<monotonic_time> cold_sent_at; ///< last send while the server was cold
+    std::optional<monotonic_time> last_sent_at;
 };
 
 /// Tracks the load of all backend servers as seen by one host.
@@ -62,7 +62,7 @@
 public:
     explicit server_load_tracker(load_tracker_settings settings);
 
-    void on_sent(const backend_server_id& id, bool cold, monotonic_time now);
+    void on_sent(const backend_server_id& id, monotonic_time now);
     /// `latency` is the time since the send.
     void on_finished(const backend_server_id& id, send_outcome outcome, nanoseconds latency,
                      const std::optional<load_report>& report, monotonic_time now);
--- a/src/direct/cluster_state.cpp
+++ b/src/direct/cluster_state.cpp
@@ -112,6 +112,12 @@
     return this->directory.record_leaving(report, now);
 }
 
+bool cluster_state::record_cold(const server_lifetime& server, milliseconds cold_for,
+                                monotonic_time now)
+{
+    return this->directory.record_cold(server, cold_for, now);
+}
+
 void cluster_state::on_store_reconnected(milliseconds away, monotonic_time now)
 {
     this->directory.on_store_reconnected(away, now);
--- a/src/direct/runtime/direct_host.cpp
+++ b/src/direct/runtime/direct_host.cpp
@@ -217,6 +217,8 @@
     this->counts.limited_servers = this->state.rate_limits.count();
     this->counts.resting_servers = this->state.rests.count(monotonic_time::clock::now());
     this->counts.rest_answers = this->state.rest_answers;
+    this->counts.health_checks = this->state.health_checks;
+    this->counts.cold_answers = this->state.cold_answers;
     this->counts.leaving_answers = this->state.leaving_answers;
     this->counts.suspected_requests = this->state.suspects.count_at(crash_level::suspected);
     this->counts.held_requests = this->state.suspects.count_at(crash_level::held);
@@ -250,6 +252,11 @@
         metric_type::gauge, [this] { return this->counts.resting_servers.load(); });
     add("server_rests_total", "Answers by which backend servers asked for a rest.",
         metric_type::counter, [this] { return this->counts.rest_answers.load(); });
+    add("server_health_checks_total",
+        "Questions to backend servers whether they are cold, while the store does not tell.",
+        metric_type::counter, [this] { return this->counts.health_checks.load(); });
+    add("servers_found_cold_total", "Answers by which backend servers were found to be cold.",
+        metric_type::counter, [this] { return this->counts.cold_answers.load(); });
     add("servers_said_leaving_total", "Backend servers that said in an answer that they leave.",
         metric_type::counter, [this] { return this->counts.leaving_answers.load(); });
     add("crash_suspects", "Requests that are sent alone since servers ended while running them.",
--- a/src/direct/runtime/host_context.cpp
+++ b/src/direct/runtime/host_context.cpp
@@ -76,6 +76,7 @@
       rate_limits{rate_limit_settings{}},
       suspects{crash_suspects_settings{}},
       server_connections{io_, max_idle_per_server},
+      cold_checked{io_},
       peer_connections{io_, max_idle_per_peer},
       peers{peer_health_settings{}},
       random_state{std::random_device{}()},
@@ -229,6 +230,21 @@
                {"believed_ms", std::to_string(believed.count())}});
 }
 
+void host_context::record_cold(const server_lifetime& server, const platform::answer_head& head,
+                               const char* source)
+{
+    if (!head.cold_for ||
+        !this->cluster.record_cold(server, *head.cold_for, monotonic_time::clock::now())) {
+        return;
+    }
+    ++this->cold_answers;
+    log_event(log_level::info, "server_cold",
+              {{"server", server.server.value},
+               {"lifetime", std::to_string(server.lifetime)},
+               {"cold_ms", std::to_string(head.cold_for->count())},
+               {"source", source}});
+}
+
 void host_context::merge_rate_limits(const std::vector<rate_limit_report>& reports,
                                      const host_id& from)
 {
@@ -305,6 +321,7 @@
     };
     this->rate_limits.prune(is_known, now);
     this->rests.prune(now);
+    this->cold.prune(is_known);
     std::erase_if(this->invalid_rate_limits, [&](const auto& id) { return !is_known(id); });
     std::erase_if(this->invalid_rests, [&](const auto& id) { return !is_known(id); });
     const auto& servers = this->cluster.servers().all();
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -20,6 +20,9 @@
 
 constexpr milliseconds owner_poll_interval{50};
 constexpr milliseconds connect_timeout{400};
+/// For the answer of a server that is asked whether it is cold.
+constexpr milliseconds cold_check_timeout{150};
+constexpr std::uint64_t max_health_answer_bytes = 64ULL * 1024;
 /// For all peers that are tried for a request. A host answers a connection attempt at once unless
 /// it is down or partitioned.
 constexpr milliseconds peers_connect_timeout{250};
@@ -393,13 +396,88 @@
     if (level != crash_level::none) {
         co_return co_await this->attempt_alone(request);
     }
-    const auto chosen = this->select_target(request);
+    auto chosen = this->select_target(request);
+    for (const auto* to = std::get_if<target>(&chosen); to != nullptr && this->may_be_cold(*to);
+         to = std::get_if<target>(&chosen)) {
+        co_await this->check_cold(*to);
+        if (!this->is_known_cold(*to)) {
+            break;
+        }
+        chosen = this->select_target(request);
+    }
     if (const auto without = event_without_target(chosen)) {
         co_return *without;
     }
     co_return co_await this->send_or_forward(request, std::get<target>(chosen));
 }
 
+/// Whether the server may have turned cold without this host knowing, and has not been asked
+/// lately.
+bool request_runner::may_be_cold(const target& to) const
+{
+    const auto now = monotonic_time::clock::now();
+    const server_lifetime server{.server = to.id, .lifetime = to.lifetime};
+    return to.peers.empty() && !to.cold && this->service->cold_rate > 0.0 && now < this->deadline &&
+           this->feed.may_lack_servers(now) &&
+           this->state.cold.next(server, now) != cold_check_step::none;
+}
+
+bool request_runner::is_known_cold(const target& to) const
+{
+    const auto* record = this->state.cluster.servers().find(to.id);
+    return record != nullptr && record->entry.lifetime == to.lifetime &&
+           is_cold(*record, monotonic_time::clock::now());
+}
+
+/// Asks the server on its health path whether it is cold, or waits until another request has asked.
+asio::awaitable<void> request_runner::check_cold(const target& to)
+{
+    const server_lifetime server{.server = to.id, .lifetime = to.lifetime};
+    const auto until = std::min(this->deadline, monotonic_time::clock::now() + cold_check_timeout);
+    auto& checks = this->state.cold;
+    auto now = monotonic_time::clock::now();
+    while (checks.next(server, now) == cold_check_step::wait && now < until) {
+        co_await this->state.cold_checked.wait(until);
+        now = monotonic_time::clock::now();
+    }
+    if (checks.next(server, now) != cold_check_step::ask) {
+        co_return;
+    }
+    checks.on_asked(server);
+    ++this->state.health_checks;
+    const bool answered = co_await this->call_health_path(to, until);
+    checks.on_finished(server, answered, monotonic_time::clock::now());
+    this->state.cold_checked.notify();
+}
+
+/// Returns whether the server has answered. The connection is then used for requests.
+asio::awaitable<bool> request_runner::call_health_path(const target& to, monotonic_time until)
+{
+    auto& pool = this->state.server_connections;
+    auto connection = co_await pool.try_take(to.address, until);
+    if (!connection || monotonic_time::clock::now() >= until) {
+        co_return false;
+    }
+    const auto result = co_await call_on(*connection, to.address,
+                                         make_request(http::verb::get, this->service->health_path),
+                                         until, true, max_health_answer_bytes);
+    const auto* answer = std::get_if<http_response>(&result);
+    if (answer == nullptr) {
+        co_return false;
+    }
+    const auto head = platform::decode_answer_head(answer->result_int(), *answer);
+    // The address may belong to another server by now, and a late answer to a request names none.
+    if (head.answered_by != to.id) {
+        reset(*connection);
+        co_return false;
+    }
+    this->state.record_cold({.server = to.id, .lifetime = to.lifetime}, head, "health_path");
+    if (leaves_reusable(result)) {
+        pool.give_back(to.address, std::move(connection));
+    }
+    co_return true;
+}
+
 /// The event for a choice that names no target.
 std::optional<attempt_event> request_runner::event_without_target(const choice& chosen)
 {
@@ -508,7 +586,7 @@
 {
     auto& load_tracker = this->state.load_tracker;
     this->last_target = to;
-    load_tracker.on_sent(to.id, to.cold, monotonic_time::clock::now());
+    load_tracker.on_sent(to.id, monotonic_time::clock::now());
     this->state.rate_limits.on_sent(to.id, monotonic_time::clock::now());
     const auto connect_until =
         std::min(this->deadline, monotonic_time::clock::now() + connect_timeout);
@@ -575,6 +653,7 @@
     }
     this->state.record_rest({.server = to.id, .lifetime = to.lifetime}, result.head,
                             monotonic_time::clock::now());
+    this->state.record_cold({.server = to.id, .lifetime = to.lifetime}, result.head, "answer");
     this->record_evidence(request, result, to, now);
     co_return this->handle_result(request, result, to, latency);
 }
--- a/src/direct/runtime/request_selection.cpp
+++ b/src/direct/runtime/request_selection.cpp
@@ -47,7 +47,7 @@
             .lifetime = record.entry.lifetime,
             .failure_domain = record.entry.failure_domain,
             .slots = record.entry.slots,
-            .cold = monotonic_time::clock::now() < record.cold_until};
+            .cold = is_cold(record, monotonic_time::clock::now())};
 }
 
 request_runner::choice request_runner::select_owner(const caller_request& request)
@@ -172,7 +172,7 @@
     auto refused = this->state.rate_limits.rate_of(id)
                        ? std::nullopt
                        : this->refuse_load(id, record.entry.lifetime, record.entry.slots,
-                                           now < record.cold_until);
+                                           is_cold(record, now));
     const auto held_off = this->state.rate_limits.held_off_for(id, now);
     if (held_off > milliseconds{0}) {
         refused = host_refusal{.kind = error_kind::server_at_limit, .retry_after = held_off};
--- a/src/direct/runtime/store_feed.cpp
+++ b/src/direct/runtime/store_feed.cpp
@@ -504,6 +504,13 @@
     return leader_hint{.term = term.term, .host = term.host, .peer_address = host->peer_address};
 }
 
+bool store_feed::may_lack_servers(monotonic_time now) const
+{
+    const auto confirmed = this->parts.at(store_part::servers).log.last_confirmed();
+    return now >= this->followed_until &&
+           (!confirmed || now >= *confirmed + max_age + confirm_check_interval);
+}
+
 std::optional<leader_hint> store_feed::followed_leader() const
 {
     const bool is_current = monotonic_time::clock::now() < this->followed_until;
--- a/src/direct/server_directory.cpp
+++ b/src/direct/server_directory.cpp
@@ -17,6 +17,11 @@
 
 } // namespace
 
+bool is_cold(const server_record& record, monotonic_time now)
+{
+    return now < record.cold_until || now < record.said_cold_until;
+}
+
 server_directory::server_directory(directory_settings settings_) : settings{settings_} {}
 
 directory_change server_directory::apply(const server_entry& entry, monotonic_time now)
@@ -77,6 +82,20 @@
     return is_news;
 }
 
+bool server_directory::record_cold(const server_lifetime& server, milliseconds cold_for,
+                                   monotonic_time now)
+{
+    const auto found = this->known.find(server.server);
+    if (found == this->known.end() || found->second.entry.lifetime != server.lifetime) {
+        return false;
+    }
+    auto& record = found->second;
+    const bool was_cold = is_cold(record, now);
+    record.said_cold_until =
+        std::max(record.said_cold_until, now + std::min(cold_for, this->settings.longest_cold));
+    return !was_cold && is_cold(record, now);
+}
+
 std::vector<leaving_report> server_directory::leaving_reports(monotonic_time now) const
 {
     std::vector<leaving_report> out;
--- a/src/direct/server_load_tracker.cpp
+++ b/src/direct/server_load_tracker.cpp
@@ -32,7 +32,7 @@
 
 server_load_tracker::server_load_tracker(load_tracker_settings settings_) : settings{settings_} {}
 
-void server_load_tracker::on_sent(const backend_server_id& id, bool cold, monotonic_time now)
+void server_load_tracker::on_sent(const backend_server_id& id, monotonic_time now)
 {
     auto& view = this->views[id];
     ++view.in_flight;
@@ -41,9 +41,7 @@
     if (view.sends.size() > max_recent_sends) {
         view.sends.pop_front();
     }
-    if (cold) {
-        view.cold_sent_at = now;
-    }
+    view.last_sent_at = now;
 }
 
 void server_load_tracker::on_finished(const backend_server_id& id, send_outcome outcome,
@@ -335,13 +333,13 @@
             return std::nullopt;
         }
     }
-    if (!view.cold_sent_at) {
+    if (!view.last_sent_at) {
         return monotonic_time{};
     }
     const auto senders =
         static_cast<double>(std::min(std::max<std::size_t>(hosts.size(), 1), most_senders));
     const auto gap = std::max(window, std::chrono::duration<double>{senders / std::max(rate, 0.1)});
-    return *view.cold_sent_at + std::chrono::duration_cast<monotonic_time::duration>(gap);
+    return *view.last_sent_at + std::chrono::duration_cast<monotonic_time::duration>(gap);
 }
 
 std::optional<std::size_t> cheaper_of_two(const std::vector<double>& costs,
--- a/test/direct/server_directory_test.cpp
+++ b/test/direct/server_directory_test.cpp
@@ -319,6 +319,45 @@
     CHECK_TRUE(directory.find({"a"}) == nullptr);
 }
 
+struct said_cold_row {
+    const char* name;
+    std::uint64_t lifetime; ///< of the server that says so; the known one is 2
+    milliseconds said_for;
+    milliseconds entry_for; ///< in a later entry
+    milliseconds later;
+    bool cold;
+};
+
+const said_cold_row said_cold_rows[] = {
+    {"said so", 2, seconds{3}, {}, seconds{2}, true},
+    {"the time is over", 2, seconds{3}, {}, seconds{3}, false},
+    {"its entry says longer", 2, seconds{1}, seconds{4}, seconds{3}, true},
+    {"not cold", 2, {}, {}, {}, false},
+    {"a former process", 1, seconds{3}, {}, seconds{1}, false},
+    {"longer than is believed", 2, std::chrono::hours{1}, {}, std::chrono::minutes{2}, false},
+};
+
+/// Guards against taking the word of a server back by an entry that it wrote before.
+TEST(server_directory_test, is_cold_for_as_long_as_an_answer_says)
+{
+    for (const auto& row : said_cold_rows) {
+        server_directory directory{{}};
+        directory.apply(entry("a", 2, 1), start);
+        const bool is_news =
+            directory.record_cold({.server = {"a"}, .lifetime = row.lifetime}, row.said_for, start);
+        CHECK_EQUAL_TEXT(row.lifetime == 2 && row.said_for > milliseconds{0}, is_news, row.name);
+        CHECK_FALSE_TEXT(
+            directory.record_cold({.server = {"a"}, .lifetime = row.lifetime}, row.said_for, start),
+            row.name);
+        auto later = entry("a", 2, 2);
+        later.cold_for = row.entry_for;
+        directory.apply(later, start);
+        CHECK_EQUAL_TEXT(row.cold, is_cold(*directory.find({"a"}), start + row.later), row.name);
+    }
+    server_directory empty{{}};
+    CHECK_FALSE(empty.record_cold({.server = {"a"}, .lifetime = 1}, seconds{3}, start));
+}
+
 TEST(server_directory_test, is_cold_for_as_long_as_the_last_report_says)
 {
     server_directory directory{{}};
--- a/test/direct/server_load_tracker_test.cpp
+++ b/test/direct/server_load_tracker_test.cpp
@@ -58,11 +58,11 @@
     for (const auto& row : wait_rows) {
         server_load_tracker tracker{{}};
         if (row.last_report) {
-            tracker.on_sent(server, false, start);
+            tracker.on_sent(server, start);
             tracker.on_finished(server, send_outcome::shed, {}, row.last_report, start);
         }
         for (std::uint32_t i = 0; i < row.sent_after; ++i) {
-            tracker.on_sent(server, false, start);
+            tracker.on_sent(server, start);
         }
         const auto wait = tracker.expected_wait(server, slots, start + row.age);
         CHECK_EQUAL_TEXT(row.wait.count(), wait.count(), row.name);
@@ -73,7 +73,7 @@
 {
     server_load_tracker tracker{{}};
     const auto answer = [&tracker](milliseconds latency, load_report load) {
-        tracker.on_sent(server, false, start);
+        tracker.on_sent(server, start);
         tracker.on_finished(server, send_outcome::answered, latency, load, start);
     };
     answer(milliseconds{200}, report(1, 0));
@@ -92,7 +92,7 @@
 {
     server_load_tracker tracker{{}};
     const auto healthy = tracker.cost(server, slots, start);
-    tracker.on_sent(server, false, start);
+    tracker.on_sent(server, start);
     tracker.on_finished(server, send_outcome::unreachable, {}, std::nullopt, start);
     CHECK_FALSE(tracker.is_reachable(server, start));
     CHECK_TRUE(tracker.is_reachable(server, start + milliseconds{500}));
@@ -112,7 +112,7 @@
             for (std::size_t i = 0; i < count; ++i) {
                 const auto next = next_cold_send(server, views[i], rate, hosts[i], hosts);
                 if (next && now >= *next) {
-                    views[i].cold_sent_at = now;
+                    views[i].last_sent_at = now;
                     sends.insert(now);
                 }
             }
@@ -152,10 +152,10 @@
         const auto reported = row.outcome == send_outcome::failed
                                   ? std::optional<load_report>{}
                                   : std::optional{report(4, row.waiting_then)};
-        tracker.on_sent(server, false, start);
+        tracker.on_sent(server, start);
         tracker.on_finished(server, send_outcome::answered, milliseconds{120},
                             report(4, row.waiting_then), start);
-        tracker.on_sent(server, false, start);
+        tracker.on_sent(server, start);
         tracker.on_finished(server, row.outcome, milliseconds{5}, reported, start);
         const auto now = start + row.later;
         tracker.on_sent(server, false, now);
@@ -174,7 +174,7 @@
 TEST(server_load_tracker_test, a_report_that_others_have_seen_counts_if_it_is_newer)
 {
     server_load_tracker tracker{{}};
-    tracker.on_sent(server, false, start);
+    tracker.on_sent(server, start);
     tracker.on_finished(server, send_outcome::shed, {}, report(4, 8), start);
     tracker.on_sent(server, false, start + milliseconds{40});
     tracker.on_sent(server, false, start + milliseconds{80});
@@ -196,7 +196,7 @@
 TEST(server_load_tracker_test, tells_only_reports_that_it_has_seen_itself_and_not_told_yet)
 {
     server_load_tracker tracker{{}};
-    tracker.on_sent(server, false, start);
+    tracker.on_sent(server, start);
     tracker.on_finished(server, send_outcome::answered, {}, report(4, 1), start);
     tracker.merge({.server = {"other"}, .report = report(2, 0), .age = {}}, start);
     const auto reports = tracker.take_own_reports(start);
@@ -204,7 +204,7 @@
     CHECK_TRUE(reports[0].server == server);
     CHECK_TRUE(tracker.take_own_reports(start).empty());
     CHECK_EQUAL(2, tracker.reports(start).size());
-    tracker.on_sent(server, false, start);
+    tracker.on_sent(server, start);
     tracker.on_finished(server, send_outcome::answered, {}, report(4, 2), start + milliseconds{10});
     CHECK_EQUAL(1, tracker.take_own_reports(start + milliseconds{10}).size());
 }
--- a/test/direct/store_feed_test.cpp
+++ b/test/direct/store_feed_test.cpp
@@ -33,6 +33,18 @@
      milliseconds{3600}},
 };
 
+struct outdated_row {
+    const char* name;
+    const char* silent_prefix; ///< watches of it are never answered; empty: none
+    bool may_lack_servers;
+};
+
+const outdated_row outdated_rows[] = {
+    {"the store answers", "", false},
+    {"no news of servers", "servers/", true},
+    {"no news of configurations", "op/", false},
+};
+
 class feed_fixture {
 public:
     feed_fixture()
@@ -58,6 +70,24 @@
         return this->refused;
     }
 
+    /// Whether this host, as the leader, may lack entries of servers for half a second on end, well
+    /// after watches have begun to be unanswered.
+    bool may_lack_servers(const char* silent_prefix)
+    {
+        this->feed.start();
+        this->state.leads = true;
+        this->io.run_for(milliseconds{300});
+        this->store.faults.silent_prefix = silent_prefix;
+        // The watch that is under way is answered at its end.
+        this->io.run_for(milliseconds{2200});
+        bool out = true;
+        for (int i = 0; i < 50; ++i) {
+            this->io.run_for(milliseconds{10});
+            out = out && this->feed.may_lack_servers(monotonic_time::clock::now());
+        }
+        return out;
+    }
+
     /// Whether this host, as the leader, knows the last of its tables 400 ms after it wrote them,
     /// though watches are not answered after the first one.
     bool learns_own_tables(int writes)
@@ -166,6 +196,16 @@
     }
 }
 
+/// Guards against relying on entries of servers that may have changed since.
+TEST(store_feed_test, a_host_knows_that_it_may_lack_entries_of_servers)
+{
+    for (const auto& row : outdated_rows) {
+        feed_fixture host;
+        const bool may_lack = host.may_lack_servers(row.silent_prefix);
+        CHECK_EQUAL_TEXT(row.may_lack_servers, may_lack, row.name);
+    }
+}
+
 /// Guards against answers to a watch that hold many versions of a table: once some are missing, the
 /// latest one is read instead, here while watches are not answered at all.
 TEST(store_feed_test, a_leader_reads_its_tables_anew_after_several_writes)
