--- a/include/figreach/direct/runtime/request_runner.h
+++ b/include/figreach/direct/runtime/request_runner.h
@@ -90,9 +90,8 @@
     [[nodiscard]] bool is_counted_elsewhere(const caller_request& request) const;
     boost::asio::awaitable<attempt_event> attempt(const caller_request& request);
     boost::asio::awaitable<attempt_event> attempt_alone(const caller_request& request);
-    [[nodiscard]] bool may_be_cold(const target& to) const;
-    [[nodiscard]] bool is_known_cold(const target& to) const;
-    boost::asio::awaitable<void> check_cold(const target& to);
+    [[nodiscard]] bool may_be_cold(const choice& chosen) const;
+    boost::asio::awaitable<bool> check_cold(const target& to);
     boost::asio::awaitable<bool> call_health_path(const target& to, monotonic_time until);
     boost::asio::awaitable<attempt_event> send_or_forward(const caller_request& request, target to);
     boost::asio::awaitable<attempt_event> send(const caller_request& request, target to);
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -261,8 +261,8 @@
     return this->service != nullptr ? std::nullopt : std::optional{unreadable_route()};
 }
 
-/// Whether the refusal of an API key may only show that the host that passed the request on has a
-/// newer configuration.
+/// Whether an API key may have been refused only because this host lacks the newer configuration of
+/// the host that passed the request on.
 bool request_runner::may_be_outdated(const host_refusal& refusal,
                                      const caller_request& request) const
 {
@@ -397,10 +397,9 @@
         co_return co_await this->attempt_alone(request);
     }
     auto chosen = this->select_target(request);
-    for (const auto* to = std::get_if<target>(&chosen); to != nullptr && this->may_be_cold(*to);
-         to = std::get_if<target>(&chosen)) {
-        co_await this->check_cold(*to);
-        if (!this->is_known_cold(*to)) {
+    while (this->may_be_cold(chosen)) {
+        const bool cold = co_await this->check_cold(std::get<target>(chosen));
+        if (!cold) {
             break;
         }
         chosen = this->select_target(request);
@@ -411,26 +410,23 @@
     co_return co_await this->send_or_forward(request, std::get<target>(chosen));
 }
 
-/// Whether the server may have turned cold without this host knowing, and has not been asked
-/// lately.
-bool request_runner::may_be_cold(const target& to) const
+/// Whether this host is about to send to a server that may have turned cold without this host
+/// knowing, and that has not been asked lately.
+bool request_runner::may_be_cold(const choice& chosen) const
 {
+    const auto* to = std::get_if<target>(&chosen);
+    if (to == nullptr || !to->peers.empty() || to->cold || this->service->cold_rate <= 0.0) {
+        return false;
+    }
     const auto now = monotonic_time::clock::now();
-    const server_lifetime server{.server = to.id, .lifetime = to.lifetime};
-    return to.peers.empty() && !to.cold && this->service->cold_rate > 0.0 && now < this->deadline &&
-           this->feed.may_lack_servers(now) &&
+    const server_lifetime server{.server = to->id, .lifetime = to->lifetime};
+    return now < this->deadline && this->feed.may_lack_servers(now) &&
            this->state.cold.next(server, now) != cold_check_step::none;
 }
 
-bool request_runner::is_known_cold(const target& to) const
-{
-    const auto* record = this->state.cluster.servers().find(to.id);
-    return record != nullptr && record->entry.lifetime == to.lifetime &&
-           is_cold(*record, monotonic_time::clock::now());
-}
-
 /// Asks the server on its health path whether it is cold, or waits until another request has asked.
-asio::awaitable<void> request_runner::check_cold(const target& to)
+/// Returns whether the server counts as cold then.
+asio::awaitable<bool> request_runner::check_cold(const target& to)
 {
     const server_lifetime server{.server = to.id, .lifetime = to.lifetime};
     const auto until = std::min(this->deadline, monotonic_time::clock::now() + cold_check_timeout);
@@ -440,14 +436,16 @@
         co_await this->state.cold_checked.wait(until);
         now = monotonic_time::clock::now();
     }
-    if (checks.next(server, now) != cold_check_step::ask) {
-        co_return;
+    if (checks.next(server, now) == cold_check_step::ask) {
+        checks.on_asked(server);
+        ++this->state.health_checks;
+        const bool answered = co_await this->call_health_path(to, until);
+        checks.on_finished(server, answered, monotonic_time::clock::now());
+        this->state.cold_checked.notify();
     }
-    checks.on_asked(server);
-    ++this->state.health_checks;
-    const bool answered = co_await this->call_health_path(to, until);
-    checks.on_finished(server, answered, monotonic_time::clock::now());
-    this->state.cold_checked.notify();
+    const auto* record = this->state.cluster.servers().find(to.id);
+    co_return record != nullptr &&
+        record->entry.lifetime == to.lifetime&& is_cold(*record, monotonic_time::clock::now());
 }
 
 /// Returns whether the server has answered. The connection is then used for requests.
--- a/test/direct/configuration_mismatch_test.cpp
+++ b/test/direct/configuration_mismatch_test.cpp
@@ -10,7 +10,7 @@
 const std::string order = request("POST /move/1", "Content-Length: 0\r\n");
 const std::string mismatch = R"("error":"configuration_mismatch")";
 
-/// A part of the route that both hosts have in most rows.
+/// A service of a route.
 weighted_service part(const char* name, std::uint32_t weight = 1)
 {
     return {.service = {name}, .weight = weight};
