--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -459,11 +459,11 @@
     const auto result = co_await call_on(*connection, to.address,
                                          make_request(http::verb::get, this->service->health_path),
                                          until, true, max_health_answer_bytes);
-    const auto* answer = std::get_if<http_response>(&result);
-    if (answer == nullptr) {
+    const auto* received = std::get_if<http_response>(&result);
+    if (received == nullptr) {
         co_return false;
     }
-    const auto head = platform::decode_answer_head(answer->result_int(), *answer);
+    const auto head = platform::decode_answer_head(received->result_int(), *received);
     // The address may belong to another server by now, and a late answer to a request names none.
     if (head.answered_by != to.id) {
         reset(*connection);
