--- a/test/direct/admission_test.cpp
+++ b/test/direct/admission_test.cpp
@@ -161,7 +161,7 @@
         if (this->admits && excess_wait(input)) {
             return;
         }
-        tracker.on_sent(server, false, this->now);
+        tracker.on_sent(server, this->now);
         if (this->queue.size() >= longest_queue) {
             ++this->outcome.turned_away;
             tracker.on_finished(server, send_outcome::shed, {}, this->report(), this->now);
