--- a/test/direct/server_load_tracker_test.cpp
+++ b/test/direct/server_load_tracker_test.cpp
@@ -126,6 +126,37 @@
     }
 }
 
+/// Guards against a send of each host at the moment at which all learn that a busy server is cold.
+TEST(server_load_tracker_test, a_server_that_turns_cold_under_load_gets_what_it_bears)
+{
+    constexpr double rate = 10.0;
+    constexpr int most = 20; // 1.5 times the rate, and 5
+    constexpr milliseconds send_interval{31};
+    constexpr milliseconds unknown_for{300};
+    const auto hosts = make_hosts(12);
+    std::vector<server_load_view> views(hosts.size());
+    std::multiset<monotonic_time> sends;
+    std::size_t next_host = 0;
+    for (auto now = start; now < start + unknown_for; now += send_interval) {
+        views[next_host++ % hosts.size()].last_sent_at = now;
+        sends.insert(now);
+    }
+    for (auto now = start + unknown_for; now < start + seconds{5}; now += milliseconds{10}) {
+        for (std::size_t i = 0; i < hosts.size(); ++i) {
+            const auto next = next_cold_send(server, views[i], rate, hosts[i], hosts);
+            if (next && now >= *next) {
+                views[i].last_sent_at = now;
+                sends.insert(now);
+            }
+        }
+    }
+    for (const auto& first : sends) {
+        const auto within =
+            std::distance(sends.lower_bound(first), sends.lower_bound(first + seconds{1}));
+        CHECK_TRUE(within <= most);
+    }
+}
+
 struct full_row {
     const char* name;
     send_outcome outcome;
@@ -158,7 +189,7 @@
         tracker.on_sent(server, start);
         tracker.on_finished(server, row.outcome, milliseconds{5}, reported, start);
         const auto now = start + row.later;
-        tracker.on_sent(server, false, now);
+        tracker.on_sent(server, now);
         tracker.on_finished(server, send_outcome::answered, milliseconds{120},
                             report(4, row.waiting_now), now);
         CHECK_EQUAL_TEXT(row.full, tracker.queue_fill(server, 4, now) >= 1.0, row.name);
@@ -176,8 +207,8 @@
     server_load_tracker tracker{{}};
     tracker.on_sent(server, start);
     tracker.on_finished(server, send_outcome::shed, {}, report(4, 8), start);
-    tracker.on_sent(server, false, start + milliseconds{40});
-    tracker.on_sent(server, false, start + milliseconds{80});
+    tracker.on_sent(server, start + milliseconds{40});
+    tracker.on_sent(server, start + milliseconds{80});
     const auto now = start + milliseconds{100};
     tracker.merge({.server = server, .report = report(4, 2), .age = milliseconds{200}}, now);
     CHECK_EQUAL(8, tracker.view(server).report->waiting);
