--- a/test/direct/quota_spread_flood_test.cpp
+++ b/test/direct/quota_spread_flood_test.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 struct spread_row {
-    const char* name;
+    const char* name = "";
     quota_load load;
 };
 
