--- a/src/direct/quota/quota_allocator.cpp
+++ b/src/direct/quota/quota_allocator.cpp
@@ -38,7 +38,7 @@
 constexpr double min_demand = 0.01; ///< requests per second; less counts as none
 /// In requests per second. While the demand is near the limit, smaller shares stay in the reserve:
 /// what a bucket gains between two requests of one host could serve those of another.
-constexpr double min_rate = 2.0;
+constexpr double min_bucket_rate = 2.0;
 constexpr double near_limit = 0.8; ///< part of a limit
 constexpr milliseconds expiry_interval{50};
 
@@ -219,7 +219,8 @@
         const double least = std::clamp(all_depth / (all.hosts + 1), 1.0, max_least_depth);
         double depth =
             std::min(std::max(proportional, least), std::max(all_depth - all.depth, 0.0));
-        const bool is_pooled = total > near_limit * rule->rate && fraction * rule->rate < min_rate;
+        const bool is_pooled =
+            total > near_limit * rule->rate && fraction * rule->rate < min_bucket_rate;
         if (fraction <= 0.0 || (may_increase && (depth < 1.0 || is_pooled))) {
             // A bucket that never holds a token would take its part of the rate in vain.
             fraction = 0.0;
--- a/test/direct/cold_server_test.cpp
+++ b/test/direct/cold_server_test.cpp
@@ -52,6 +52,17 @@
     fake_upstream upstream;
 };
 
+/// Gives all services a health path and a rate for cold servers.
+void limit_cold_servers(path_fixture& host, double rate)
+{
+    host.change_configuration([rate](route_configuration& all) {
+        for (auto& [name, service] : all.services) {
+            service.health_path = "/healthz";
+            service.cold_rate = rate;
+        }
+    });
+}
+
 struct cold_row {
     const char* name;
     const char* path;
@@ -94,13 +105,7 @@
         checked_server server{row.health_answer,
                               closing("200 OK", own_id + signature + row.fields)};
         path_fixture host{server.address()};
-        host.change_configuration([&](route_configuration& all) {
-            for (auto& [name, service] : all.services) {
-                service.health_path = "/healthz";
-                service.cold_rate = row.cold_rate;
-                service.most_connections = 100;
-            }
-        });
+        limit_cold_servers(host, row.cold_rate);
         std::size_t refused = 0;
         for (std::size_t i = 0; i < callers; ++i) {
             const auto response = host.exchange(request(std::string{"GET "} + row.path + "1"));
@@ -120,11 +125,7 @@
 {
     checked_server server{closing("200 OK", of_s1), closing("200 OK", own_id + signature)};
     path_fixture host{server.address()};
-    host.change_configuration([](route_configuration& all) {
-        auto& service = all.services[{"lessons"}];
-        service.health_path = "/healthz";
-        service.cold_rate = cold_rate;
-    });
+    limit_cold_servers(host, cold_rate);
     std::vector<std::future<std::string>> responses;
     for (std::size_t i = 0; i < callers; ++i) {
         responses.push_back(
