--- a/include/figreach/direct/cold_checks.h
+++ b/include/figreach/direct/cold_checks.h
@@ -4,7 +4,7 @@
 #include <functional>
 #include <map>
 
-#include "figreach/direct/crash_report.h"
+#include "figreach/direct/server_lifetime.h"
 #include "figreach/ids.h"
 #include "figreach/time.h"
 
--- a/include/figreach/direct/crash_report.h
+++ b/include/figreach/direct/crash_report.h
@@ -1,24 +1,16 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <vector>
 
 #include "figreach/direct/request_digest.h"
+#include "figreach/direct/server_lifetime.h"
 #include "figreach/ids.h"
 #include "figreach/time.h"
 
 namespace figreach::direct {
 
-/// One process of a backend server.
-struct server_lifetime {
-    backend_server_id server;
-    std::uint64_t lifetime = 0;
-
-    friend auto operator<=>(const server_lifetime&, const server_lifetime&) = default;
-};
-
 /// A send during which the server's side ended the connection before the answer.
 struct reported_loss {
     server_lifetime server;
--- a/include/figreach/direct/runtime/request_runner.h
+++ b/include/figreach/direct/runtime/request_runner.h
@@ -16,6 +16,7 @@
 #include "figreach/direct/runtime/host_context.h"
 #include "figreach/direct/runtime/store_feed.h"
 #include "figreach/direct/server_allowance.h"
+#include "figreach/direct/server_lifetime.h"
 #include "figreach/error_kind.h"
 #include "figreach/request_attempts.h"
 #include "request_codec.h"
@@ -71,6 +72,11 @@
         std::vector<host_id> peers;
         std::uint32_t hops_left = 0;    ///< how often a peer may pass it on
         const char* forwarded_for = ""; ///< why a peer sends, for the log
+
+        [[nodiscard]] server_lifetime process() const
+        {
+            return {.server = this->id, .lifetime = this->lifetime};
+        }
     };
     struct wait_for_change {};
     using choice = std::variant<target, wait_for_change, host_refusal>;
--- a/include/figreach/direct/server_directory.h
+++ b/include/figreach/direct/server_directory.h
@@ -4,8 +4,8 @@
 #include <optional>
 #include <vector>
 
-#include "figreach/direct/crash_report.h"
 #include "figreach/direct/server_entry.h"
+#include "figreach/direct/server_lifetime.h"
 #include "figreach/time.h"
 
 namespace figreach::direct {
@@ -76,6 +76,8 @@
     [[nodiscard]] const servers& all() const;
     /// Returns null if the server is not known.
     [[nodiscard]] const server_record* find(const backend_server_id& id) const;
+    /// Returns null unless this process of the server is the known one.
+    [[nodiscard]] const server_record* find_lifetime(const server_lifetime& server) const;
 
 private:
     void end(server_record& record, monotonic_time now);
--- a/src/direct/runtime/request_cold_checks.cpp
+++ b/src/direct/runtime/request_cold_checks.cpp
@@ -25,16 +25,15 @@
         return false;
     }
     const auto now = monotonic_time::clock::now();
-    const server_lifetime server{.server = to->id, .lifetime = to->lifetime};
     return now < this->deadline && this->feed.may_lack_servers(now) &&
-           this->state.cold.next(server, now) != cold_check_step::none;
+           this->state.cold.next(to->process(), now) != cold_check_step::none;
 }
 
 /// Asks the server on its health path whether it is cold, or waits until another request has asked.
 /// Returns whether the server counts as cold then.
 asio::awaitable<bool> request_runner::check_cold(const target& to)
 {
-    const server_lifetime server{.server = to.id, .lifetime = to.lifetime};
+    const auto server = to.process();
     const auto until = std::min(this->deadline, monotonic_time::clock::now() + check_timeout);
     auto& checks = this->state.cold;
     auto now = monotonic_time::clock::now();
@@ -49,8 +48,8 @@
         checks.on_finished(server, answered, monotonic_time::clock::now());
         this->state.cold_checked.notify();
     }
-    const auto* record = this->state.cluster.servers().find(to.id);
-    if (record == nullptr || record->entry.lifetime != to.lifetime) {
+    const auto* record = this->state.cluster.servers().find_lifetime(server);
+    if (record == nullptr) {
         co_return false;
     }
     co_return is_cold(*record, monotonic_time::clock::now());
@@ -77,7 +76,7 @@
         reset(*connection);
         co_return false;
     }
-    this->state.record_cold({.server = to.id, .lifetime = to.lifetime}, head, "health_path");
+    this->state.record_cold(to.process(), head, "health_path");
     if (leaves_reusable(result)) {
         pool.give_back(to.address, std::move(connection));
     }
--- a/src/direct/runtime/request_runner.cpp
+++ b/src/direct/runtime/request_runner.cpp
@@ -483,7 +483,7 @@
                                      const target& to, monotonic_time sent_at)
 {
     const auto now = monotonic_time::clock::now();
-    const server_lifetime server{.server = to.id, .lifetime = to.lifetime};
+    const auto server = to.process();
     auto& suspects = this->state.suspects;
     const bool answered = result.outcome == exchange_outcome::answered;
     if (answered || result.outcome == exchange_outcome::not_run) {
@@ -496,9 +496,8 @@
         suspects.on_answered(*request.digest, now);
     }
     else if (result.outcome == exchange_outcome::lost && result.closed_by_server) {
-        const auto* record = this->state.cluster.servers().find(to.id);
-        const bool planned = record != nullptr && record->entry.lifetime == to.lifetime &&
-                             (record->entry.leaving || record->said_leaving);
+        const auto* record = this->state.cluster.servers().find_lifetime(server);
+        const bool planned = record != nullptr && (record->entry.leaving || record->said_leaving);
         if (!planned) {
             suspects.on_lost({.digest = *request.digest,
                               .server = server,
@@ -580,9 +579,8 @@
     if (result.head.leaving) {
         this->state.record_leaving({.server = to.id, .lifetime = to.lifetime}, "answer");
     }
-    this->state.record_rest({.server = to.id, .lifetime = to.lifetime}, result.head,
-                            monotonic_time::clock::now());
-    this->state.record_cold({.server = to.id, .lifetime = to.lifetime}, result.head, "answer");
+    this->state.record_rest(to.process(), result.head, monotonic_time::clock::now());
+    this->state.record_cold(to.process(), result.head, "answer");
     this->record_evidence(request, result, to, now);
     co_return this->handle_result(request, result, to, latency);
 }
--- a/src/direct/runtime/request_selection.cpp
+++ b/src/direct/runtime/request_selection.cpp
@@ -57,10 +57,10 @@
         return wait_for_change{};
     }
     const auto& range = range_of(*table, *request.head.key);
-    const auto* record = this->state.cluster.servers().find(range.owner);
+    const auto* record = this->state.cluster.servers().find_lifetime(
+        {.server = range.owner, .lifetime = range.owner_lifetime});
     const auto now = monotonic_time::clock::now();
-    if (record == nullptr || range.moving || record->entry.lifetime != range.owner_lifetime ||
-        !this->accepts_requests(*record, now)) {
+    if (record == nullptr || range.moving || !this->accepts_requests(*record, now)) {
         return wait_for_change{};
     }
     if (this->state.refused.must_wait(this->service->name, *request.head.key, range.fence, now)) {
@@ -95,9 +95,8 @@
 /// As above, for a server that was selected some time ago.
 bool request_runner::accepts_requests(const target& to, monotonic_time now) const
 {
-    const auto* record = this->state.cluster.servers().find(to.id);
-    return record != nullptr && record->entry.lifetime == to.lifetime &&
-           this->accepts_requests(*record, now);
+    const auto* record = this->state.cluster.servers().find_lifetime(to.process());
+    return record != nullptr && this->accepts_requests(*record, now);
 }
 
 /// Picks the cheaper of two random servers that accept new work (power of two choices). Only if
--- a/src/direct/server_directory.cpp
+++ b/src/direct/server_directory.cpp
@@ -71,11 +71,10 @@
 
 bool server_directory::record_leaving(const leaving_report& report, monotonic_time now)
 {
-    const auto found = this->known.find(report.server);
-    if (found == this->known.end() || found->second.entry.lifetime != report.lifetime) {
+    if (this->find_lifetime({.server = report.server, .lifetime = report.lifetime}) == nullptr) {
         return false;
     }
-    auto& record = found->second;
+    auto& record = this->known.at(report.server);
     const auto said_at = now - report.age;
     const bool is_news = !std::exchange(record.said_leaving, true);
     record.leaving_since = std::min(record.leaving_since.value_or(said_at), said_at);
@@ -85,11 +84,10 @@
 bool server_directory::record_cold(const server_lifetime& server, milliseconds cold_for,
                                    monotonic_time now)
 {
-    const auto found = this->known.find(server.server);
-    if (found == this->known.end() || found->second.entry.lifetime != server.lifetime) {
+    if (this->find_lifetime(server) == nullptr) {
         return false;
     }
-    auto& record = found->second;
+    auto& record = this->known.at(server.server);
     const bool was_cold = is_cold(record, now);
     record.said_cold_until =
         std::max(record.said_cold_until, now + std::min(cold_for, this->settings.longest_cold));
@@ -194,4 +192,10 @@
     return found != this->known.end() ? &found->second : nullptr;
 }
 
+const server_record* server_directory::find_lifetime(const server_lifetime& server) const
+{
+    const auto* record = this->find(server.server);
+    return record != nullptr && record->entry.lifetime == server.lifetime ? record : nullptr;
+}
+
 } // namespace figreach::direct
--- a/test/direct/configuration_mismatch_test.cpp
+++ b/test/direct/configuration_mismatch_test.cpp
@@ -75,8 +75,6 @@
     const char* kind; ///< of the refusal; empty if the request is served
 };
 
-const std::string from_h2 = "X-Figreach-Forwarded-By: h2\r\n";
-
 const peer_row peer_rows[] = {
     {"a service that the route names", "X-Figreach-Selected-Service: lessons\r\n", "HTTP/1.1 200",
      ""},
--- a/test/direct/forwarding_test.cpp
+++ b/test/direct/forwarding_test.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-const std::string from_h2 = "X-Figreach-Forwarded-By: h2\r\n";
-
 struct forwarded_row {
     const char* name;
     std::string request;
--- a/test/direct/leaving_answer_test.cpp
+++ b/test/direct/leaving_answer_test.cpp
@@ -14,7 +14,6 @@
 const std::string leaving = "Server-Leaving: 1\r\n";
 const std::string closing = "Connection: close\r\n";
 const std::string not_run = "Figreach-Not-Run: 1\r\n";
-const std::string from_h2 = "X-Figreach-Forwarded-By: h2\r\n";
 
 struct leaving_row {
     const char* name;
--- a/test/direct/path_fixture.h
+++ b/test/direct/path_fixture.h
@@ -27,6 +27,8 @@
 
 inline const std::string signature = "Figreach-Server-Stamp: 3e1b\r\n";
 inline const std::string own_id = "Figreach-Request-Id: 9c41\r\n";
+/// Marks a request that another host passes on.
+inline const std::string from_h2 = "X-Figreach-Forwarded-By: h2\r\n";
 
 inline std::string answer(const char* status, const std::string& fields, const std::string& body)
 {
--- a/test/direct/repeated_refusal_test.cpp
+++ b/test/direct/repeated_refusal_test.cpp
@@ -73,7 +73,6 @@
 };
 
 const std::string not_run = "Figreach-Not-Run: 1\r\n";
-const std::string from_h2 = "X-Figreach-Forwarded-By: h2\r\n";
 
 struct refusal_row {
     const char* name;
--- a/test/direct/resting_server_test.cpp
+++ b/test/direct/resting_server_test.cpp
@@ -11,8 +11,6 @@
 /// A request that was under way, and what the users' rule leaves besides.
 constexpr std::size_t allowed_arrivals = 3;
 
-const std::string from_h2 = "X-Figreach-Forwarded-By: h2\r\n";
-
 std::string turned_away(const std::string& fields)
 {
     return answer("503 Full", own_id + "Figreach-Not-Run: 1\r\n" + fields, "");
--- a/test/direct/route_attempts_test.cpp
+++ b/test/direct/route_attempts_test.cpp
@@ -9,7 +9,6 @@
 
 constexpr std::size_t servers = 6;
 const std::string browse_one = request("GET /media/1");
-const std::string from_h2 = "X-Figreach-Forwarded-By: h2\r\n";
 const std::string for_h2 = request("GET /media/1", from_h2);
 const std::string change_one = request("POST /change/1", "Content-Length: 0\r\n");
 const std::string shed = answer("503 Full", own_id + "Figreach-Not-Run: 1\r\n", "");
--- a/test/direct/tenant_request_test.cpp
+++ b/test/direct/tenant_request_test.cpp
@@ -97,7 +97,7 @@
 /// Guards against a host that trusts a tenant's name on the port between hosts.
 TEST(tenant_request_test, another_host_names_no_tenant)
 {
-    const std::string from_host = "X-Figreach-Forwarded-By: h2\r\nX-Figreach-Hops-Left: 0\r\n";
+    const std::string from_host = from_h2 + "X-Figreach-Hops-Left: 0\r\n";
     scripted_server server{{success("plan")}};
     path_fixture host{server.address()};
     host.change_configuration(add_tenants);
--- a/test/direct/truncated_head_test.cpp
+++ b/test/direct/truncated_head_test.cpp
@@ -61,19 +61,18 @@
 /// Guards against passing on an answer that ended early as if it were whole (MIXED, ORDER).
 TEST(truncated_head_test, an_answer_that_ends_at_any_byte_is_no_success)
 {
-    const auto from_h2 =
-        request("POST /order/1", "X-Figreach-Forwarded-By: h2\r\nContent-Length: 0\r\n");
+    const auto order_of_h2 = request("POST /order/1", from_h2 + "Content-Length: 0\r\n");
     for (const auto& row : truncated_rows) {
         truncating_server server{row.answer};
         path_fixture host{server.address()};
         for (std::size_t size = 0; size < row.answer.size(); ++size) {
             const auto response =
-                row.from_peer ? host.exchange_as_peer(from_h2) : host.exchange(order_one);
+                row.from_peer ? host.exchange_as_peer(order_of_h2) : host.exchange(order_one);
             const auto text = std::string{row.name} + ", byte " + std::to_string(size);
             STRNCMP_EQUAL_TEXT("HTTP/1.1 502", response.c_str(), 12, text.c_str());
         }
         const auto whole =
-            row.from_peer ? host.exchange_as_peer(from_h2) : host.exchange(order_one);
+            row.from_peer ? host.exchange_as_peer(order_of_h2) : host.exchange(order_one);
         STRNCMP_EQUAL_TEXT("HTTP/1.1 200", whole.c_str(), 12, row.name);
     }
 }
--- a/test/direct/unconfirmed_refusal_test.cpp
+++ b/test/direct/unconfirmed_refusal_test.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr auto failure_of_host = "HTTP/1.1 502";
-const std::string from_h2 = "X-Figreach-Forwarded-By: h2\r\n";
 const std::string rest = "Retry-After: 1\r\n";
 const std::string upload_one = request("POST /upload/1", "Content-Length: 3\r\n") + "abc";
 const std::string browse_one = request("GET /media/1");
