An answer that ends with a reset of its connection is not whole

Callers got a part of an answer as a complete one: a server answered a long upload at once with a 200 without length, sent part of the body and reset the connection while the upload was being written.

Cause: the system reports a reset once. The write of the request took the error, and the read beside it then saw a plain end of file, which ends an answer without length. exchange() remembered that the write had failed, but only to decide on reuse; relay() read on after a failed write and streamed the part as a whole chunked answer.

Change: is_cut_off() judges, in both products, an answer that ends with its connection by the error of the write. A reset that follows the server's close is reported as a broken pipe and stays a whole answer. exchange() closes the connection of such an answer and waits for the end of its write, so the order in which the two coroutines are resumed does not matter. The outcome of an order is unknown then (502), a read is sent again.

--- a/src/direct/runtime/exchange.cpp
+++ b/src/direct/runtime/exchange.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -13,6 +14,7 @@
 
 #include "figreach/direct/runtime/counted_body.h"
 #include "figreach/runtime/relay.h"
+#include "figreach/runtime/response_check.h"
 
 namespace figreach::direct {
 
@@ -33,8 +35,9 @@
 
 /// Progress of writing the request, shared with the writing coroutine.
 struct write_progress {
-    bool done = false;
-    bool failed = false;
+    bool ended = false;
+    beast::error_code error;     ///< set when ended
+    asio::steady_timer on_ended; ///< cancelled when ended
 };
 
 asio::awaitable<void> write_request(shared_connection connection,
@@ -42,8 +45,25 @@
                                     std::shared_ptr<write_progress> progress)
 {
     const auto [failed, count] = co_await http::async_write(connection->stream, *request, no_throw);
-    progress->done = !failed;
-    progress->failed = static_cast<bool>(failed);
+    progress->ended = true;
+    progress->error = failed;
+    progress->on_ended.cancel();
+}
+
+/// Whether the connection was reset before the end of a response that ends with it. Closes such a
+/// connection, which also ends a write in progress.
+asio::awaitable<bool> ended_by_reset(upstream_connection& connection,
+                                     const http::basic_parser<false>& response,
+                                     std::shared_ptr<write_progress> progress)
+{
+    if (!response.need_eof()) {
+        co_return false;
+    }
+    reset(connection);
+    if (!progress->ended) {
+        co_await progress->on_ended.async_wait(no_throw);
+    }
+    co_return is_cut_off(response, progress->error);
 }
 
 exchange_result lost(std::string detail)
@@ -106,7 +126,8 @@
 {
     auto& upstream = *connection;
     upstream.stream.expires_at(deadline);
-    const auto progress = std::make_shared<write_progress>();
+    const auto progress = std::make_shared<write_progress>(write_progress{
+        .on_ended = asio::steady_timer{upstream.stream.get_executor(), monotonic_time::max()}});
     asio::co_spawn(upstream.stream.get_executor(), write_request(connection, request, progress),
                    asio::detached);
     // Any answer counts for this, whatever request it belongs to: the connection leads to one
@@ -137,11 +158,17 @@
         if (head.request_id != request_id && !lacks_id) {
             continue;
         }
+        if (co_await ended_by_reset(upstream, parser, progress)) {
+            auto result = lost("connection reset before the end of the response");
+            result.closed_by_server = true;
+            result.head.leaving = leaving;
+            co_return result;
+        }
         if (!is_success(answer.result_int())) {
             upstream.failed_ids.push_back(request_id);
         }
-        const bool reusable = progress->done && answer.keep_alive() && !answer.need_eof() &&
-                              upstream.buffer.size() == 0;
+        const bool reusable = progress->ended && !progress->error && answer.keep_alive() &&
+                              !answer.need_eof() && upstream.buffer.size() == 0;
         if (!reusable) {
             reset(upstream);
         }
--- a/src/runtime/relay.cpp
+++ b/src/runtime/relay.cpp
@@ -20,6 +20,7 @@
 
 #include "figreach/request_head.h"
 #include "figreach/runtime/caller_watch.h"
+#include "figreach/runtime/response_check.h"
 
 namespace figreach {
 
@@ -79,11 +80,17 @@
     co_return !failed;
 }
 
+/// How sending a request ended. Everything was sent if neither is set.
+struct send_result {
+    bool caller_left = false;
+    beast::error_code error; ///< of the upstream connection
+};
+
 /// Streams the caller's body to the upstream in chunks.
-asio::awaitable<relay_ending> relay_body(inbound_request caller, upstream_connection& upstream,
-                                         http::request_serializer<http::buffer_body>& writer,
-                                         http::request<http::buffer_body>& request,
-                                         monotonic_time deadline)
+asio::awaitable<send_result> relay_body(inbound_request caller, upstream_connection& upstream,
+                                        http::request_serializer<http::buffer_body>& writer,
+                                        http::request<http::buffer_body>& request,
+                                        monotonic_time deadline)
 {
     const deadline_guard guard{caller.stream, deadline};
     std::array<char, chunk_bytes> chunk{};
@@ -94,7 +101,7 @@
             const auto [failed, count] =
                 co_await http::async_read(caller.stream, caller.buffer, caller.parser, no_throw);
             if (!is_expected(failed)) {
-                co_return relay_ending::caller_left;
+                co_return send_result{.caller_left = true};
             }
             request.body().data = chunk.data();
             request.body().size = chunk.size() - caller.parser.get().body().size;
@@ -107,14 +114,14 @@
         }
         const auto [failed, count] = co_await http::async_write(upstream.stream, writer, no_throw);
         if (!is_expected(failed)) {
-            co_return relay_ending::lost;
+            co_return send_result{.error = failed};
         }
     }
-    co_return relay_ending::answered;
+    co_return send_result{};
 }
 
-asio::awaitable<relay_ending> send_buffered(inbound_request caller, upstream_connection& upstream,
-                                            const http::fields& fields)
+asio::awaitable<send_result> send_buffered(inbound_request caller, upstream_connection& upstream,
+                                           const http::fields& fields)
 {
     const auto& from = caller.parser.get();
     http::request<http::string_body> request{from.method(), from.target(), http_1_1};
@@ -124,11 +131,11 @@
     request.body() = *caller.buffered_body;
     request.content_length(caller.buffered_body->size());
     const auto [failed, count] = co_await http::async_write(upstream.stream, request, no_throw);
-    co_return failed ? relay_ending::lost : relay_ending::answered;
+    co_return send_result{.error = failed};
 }
 
-asio::awaitable<relay_ending> send_request(inbound_request caller, upstream_connection& upstream,
-                                           const http::fields& fields, monotonic_time deadline)
+asio::awaitable<send_result> send_request(inbound_request caller, upstream_connection& upstream,
+                                          const http::fields& fields, monotonic_time deadline)
 {
     const auto& from = caller.parser.get();
     if (caller.buffered_body != nullptr) {
@@ -143,10 +150,10 @@
             request.content_length(0);
         }
         const auto [failed, count] = co_await http::async_write(upstream.stream, request, no_throw);
-        co_return failed ? relay_ending::lost : relay_ending::answered;
+        co_return send_result{.error = failed};
     }
     if (!co_await send_continue_if_expected(caller)) {
-        co_return relay_ending::caller_left;
+        co_return send_result{.caller_left = true};
     }
     http::request<http::buffer_body> request;
     static_cast<http::fields&>(request) = fields;
@@ -164,7 +171,7 @@
     const auto [failed, count] =
         co_await http::async_write_header(upstream.stream, writer, no_throw);
     if (failed) {
-        co_return relay_ending::lost;
+        co_return send_result{.error = failed};
     }
     co_return co_await relay_body(caller, upstream, writer, request, deadline);
 }
@@ -413,9 +420,9 @@
     }
     const auto sent = co_await send_request(caller, upstream, options.fields, deadline);
     caller.stream.expires_at(deadline);
-    if (sent == relay_ending::caller_left) {
+    if (sent.caller_left) {
         const bool late = monotonic_time::clock::now() >= deadline;
-        result.ending = late ? relay_ending::late : sent;
+        result.ending = late ? relay_ending::late : relay_ending::caller_left;
         co_return result;
     }
     // Even if sending failed, an answer may have arrived: an upstream may answer and close before
@@ -430,6 +437,10 @@
         result.ending = waited;
         co_return result;
     }
+    if (is_cut_off(answer, sent.error)) {
+        result.ending = ending_after_send(deadline);
+        co_return result;
+    }
     result.incarnation = parse_number(answer.get()[field::incarnation]);
     if (co_await try_read_refusal(upstream, answer, result)) {
         co_return result;
@@ -440,7 +451,7 @@
         co_return result;
     }
     result.status = answer.get().result_int();
-    const bool upstream_keeps_alive = answer.get().keep_alive() && sent == relay_ending::answered;
+    const bool upstream_keeps_alive = answer.get().keep_alive() && !sent.error;
     result.ending = co_await pass_answer(caller, upstream, answer, options, result);
     if (result.ending == relay_ending::lost) {
         result.ending = ending_after_send(deadline);
