A response with an invalid status is no answer

Callers of hosts that relay got answers whose status was 000, and a grant answered so counted as accepted. Hosts that send to owners directly took any status below 200 for an interim response, so that a caller whose server answered 000 without length waited until its deadline.

Cause: the parser accepts any three digits, and each reader judged for itself what it had read.

Change: read_response_head() reads the head of every response, of servers, hosts and the store, in both products and refuses a status outside 100 to 599 (RFC 9110, section 15) and 101, which no request asks for. The body is not read then; the outcome of an order is unknown (502), a read is sent again, and the connection is reset.

Evidence: invalid_answer_test of both products: 44 responses to orders of callers and other hosts, to calls, reads and grants.

--- a/include/figreach/runtime/response_check.h
+++ b/include/figreach/runtime/response_check.h
@@ -1,12 +1,28 @@
 #pragma once
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
 
 namespace figreach {
 
 // What every reader of responses checks, whoever sent them.
 
+/// Whether a valid status is that of an interim response, which the final one follows.
+[[nodiscard]] bool is_interim(unsigned status);
+
+/// Checks the head of a response. Fails with http::error::bad_status for a status that is invalid
+/// (RFC 9110, section 15) or that no request asks for.
+[[nodiscard]] boost::beast::error_code
+check_response_head(const boost::beast::http::response_header<>& head);
+
 /// Whether a response of which everything has been read was cut off nevertheless. A body without a
 /// length or a last chunk is complete only if the server closed its connection. The system reports
 /// a reset once: if the write of the request gets the error, the read gets the end of the stream.
@@ -14,4 +30,16 @@
 [[nodiscard]] bool is_cut_off(const boost::beast::http::basic_parser<false>& response,
                               const boost::beast::error_code& write_error);
 
+/// Reads the head of a response, interim or final, and checks it.
+template <class Body>
+boost::asio::awaitable<boost::beast::error_code>
+read_response_head(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
+                   boost::beast::http::response_parser<Body>& parser)
+{
+    constexpr auto no_throw = boost::asio::as_tuple(boost::asio::use_awaitable);
+    const auto [failed, count] =
+        co_await boost::beast::http::async_read_header(stream, buffer, parser, no_throw);
+    co_return failed ? failed : check_response_head(parser.get());
+}
+
 } // namespace figreach
--- a/src/direct/runtime/exchange.cpp
+++ b/src/direct/runtime/exchange.cpp
@@ -94,13 +94,6 @@
     return out;
 }
 
-/// Whether the final response is still to come.
-bool is_interim(unsigned status)
-{
-    constexpr unsigned first_final = 200;
-    return status < first_final;
-}
-
 bool is_success(unsigned status)
 {
     constexpr unsigned first_success = 200;
@@ -139,8 +132,11 @@
         parser.body_limit(max_answer_bytes);
         parser.skip(request->method() == http::verb::head);
         counted_body counted{buffered_bytes};
-        const auto failed = co_await read_counted(upstream.stream, upstream.buffer, parser, counted,
-                                                  max_buffered_bytes);
+        auto failed = co_await read_response_head(upstream.stream, upstream.buffer, parser);
+        if (!failed) {
+            failed = co_await read_counted(upstream.stream, upstream.buffer, parser, counted,
+                                           max_buffered_bytes);
+        }
         if (failed) {
             auto result = result_for_error(upstream, failed, deadline);
             result.head.leaving = leaving;
--- a/src/direct/runtime/http_client.cpp
+++ b/src/direct/runtime/http_client.cpp
@@ -1,6 +1,7 @@
 #include "figreach/direct/runtime/http_client.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -9,6 +10,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "figreach/runtime/response_check.h"
+
 namespace figreach::direct {
 
 namespace asio = boost::asio;
@@ -45,8 +48,11 @@
     }
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_answer_bytes);
-    const auto [read_error, count] =
-        co_await http::async_read(connection.stream, connection.buffer, parser, no_throw);
+    auto read_error = co_await read_response_head(connection.stream, connection.buffer, parser);
+    if (!read_error) {
+        std::tie(read_error, std::ignore) =
+            co_await http::async_read(connection.stream, connection.buffer, parser, no_throw);
+    }
     if (read_error) {
         reset(connection);
         co_return call_failure::no_answer;
--- a/src/runtime/grant_client.cpp
+++ b/src/runtime/grant_client.cpp
@@ -11,12 +11,14 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "figreach/grant_codec.h"
 #include "figreach/runtime/connection_pool.h"
+#include "figreach/runtime/response_check.h"
 
 namespace figreach {
 
@@ -75,9 +77,14 @@
         request.body() = to_json(what.request);
         request.prepare_payload();
         co_await http::async_write(connection->stream, request, asio::use_awaitable);
-        http::response<http::string_body> answer;
-        co_await http::async_read(connection->stream, connection->buffer, answer,
+        http::response_parser<http::string_body> parser;
+        if (co_await read_response_head(connection->stream, connection->buffer, parser)) {
+            reset(*connection);
+            co_return std::nullopt;
+        }
+        co_await http::async_read(connection->stream, connection->buffer, parser,
                                   asio::use_awaitable);
+        const auto answer = parser.release();
         auto parsed = parse_grant_answer(answer.body());
         if (answer.keep_alive()) {
             this->pool.give_back(what.address, std::move(connection));
--- a/src/runtime/relay.cpp
+++ b/src/runtime/relay.cpp
@@ -371,8 +371,7 @@
             upstream.stream.cancel();
         });
     }
-    const auto [failed, count] =
-        co_await http::async_read_header(upstream.stream, upstream.buffer, answer, no_throw);
+    const auto failed = co_await read_response_head(upstream.stream, upstream.buffer, answer);
     if (!failed) {
         co_return relay_ending::answered;
     }
--- a/src/runtime/response_check.cpp
+++ b/src/runtime/response_check.cpp
@@ -1,6 +1,8 @@
 #include "figreach/runtime/response_check.h"
 
 #include <boost/asio/error.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
 
 namespace figreach {
 
@@ -10,6 +12,10 @@
 
 namespace {
 
+constexpr unsigned first_interim = 100;
+constexpr unsigned first_final = 200;
+constexpr unsigned end_of_final = 600;
+
 /// Whether the connection ended otherwise than by a close, of the server or of this host.
 bool is_connection_lost(const beast::error_code& write_error)
 {
@@ -23,6 +29,22 @@
 
 } // namespace
 
+bool is_interim(unsigned status)
+{
+    return status < first_final;
+}
+
+beast::error_code check_response_head(const http::response_header<>& head)
+{
+    const auto status = head.result_int();
+    // Requests are sent without Upgrade.
+    const bool switches_protocol = head.result() == http::status::switching_protocols;
+    if (status < first_interim || status >= end_of_final || switches_protocol) {
+        return http::error::bad_status;
+    }
+    return {};
+}
+
 bool is_cut_off(const http::basic_parser<false>& response, const beast::error_code& write_error)
 {
     return response.need_eof() && is_connection_lost(write_error);
--- /dev/null
+++ b/test/direct/invalid_answer_test.cpp
@@ -0,0 +1,106 @@
+// Servers, hosts and stores whose answers are invalid.
+
+#include "../runtime/invalid_answers.h"
+
+#include "figreach/direct/runtime/order_client.h"
+#include "path_fixture.h"
+
+using namespace figreach;
+using namespace figreach::direct;
+
+namespace {
+
+const std::string fields = own_id + signature;
+const std::string order_of_h2 = request("POST /order/1", from_h2 + "Content-Length: 0\r\n");
+
+/// Checks that an order has an unknown outcome, is not sent again and that its connection is reset.
+void check_unknown(const invalid_answer& row, const std::string& response,
+                   const invalid_server& server)
+{
+    const auto text = row.name + ": " + response;
+    STRNCMP_EQUAL_TEXT("HTTP/1.1 502", response.c_str(), 12, text.c_str());
+    CHECK_TRUE_TEXT(response.find(R"("ran":"unknown")") != std::string::npos, text.c_str());
+    CHECK_EQUAL_TEXT(1, server.requests(), text.c_str());
+    wait_for([&] { return server.resets() == 1; });
+    CHECK_EQUAL_TEXT(1, server.resets(), text.c_str());
+}
+
+/// Sends orders of callers and of other hosts, also through another host, and checks that their
+/// outcome is unknown.
+void check_orders(const std::vector<invalid_answer>& rows)
+{
+    for (const auto& row : rows) {
+        {
+            invalid_server server{row.text};
+            path_fixture host{server.address()};
+            check_unknown(row, host.exchange(order_one), server);
+        }
+        {
+            invalid_server server{row.text};
+            path_fixture host{server.address()};
+            check_unknown(row, host.exchange_as_peer(order_of_h2), server);
+        }
+        invalid_server peer{row.text};
+        const fixture_host own{.name = {"h1"}, .peer_address = local_address(free_port())};
+        const fixture_host other{.name = {"h2"}, .peer_address = peer.address()};
+        path_fixture host{local_address(free_port()), own, {own, other}};
+        host.lose_server_path();
+        check_unknown(row, host.exchange(order_one), peer);
+    }
+}
+
+/// The results of one call on a pooled connection and of one order.
+std::vector<http_result> call(const std::string& text)
+{
+    invalid_server server{text};
+    asio::io_context io;
+    http_client client{io};
+    process_continuity processes;
+    order_client orders{io, processes};
+    const auto post = make_request(boost::beast::http::verb::post, "/grant", "keys");
+    std::vector<http_result> out;
+    const auto call_both = [&]() -> asio::awaitable<void> {
+        const auto until = monotonic_time::clock::now() + seconds{20};
+        out.push_back(co_await client.call(server.address(), post, until));
+        out.push_back(co_await orders.call(server.address(), post, until,
+                                           [] { return monotonic_time::max(); }));
+    };
+    asio::co_spawn(io, call_both, asio::detached);
+    io.run();
+    return out;
+}
+
+void check_calls(const std::vector<invalid_answer>& rows)
+{
+    for (const auto& row : rows) {
+        const auto results = call(row.text);
+        CHECK_EQUAL_TEXT(2, results.size(), row.name.c_str());
+        for (const auto& result : results) {
+            const auto* failure = std::get_if<call_failure>(&result);
+            CHECK_TRUE_TEXT(failure != nullptr && *failure == call_failure::no_answer,
+                            row.name.c_str());
+        }
+    }
+}
+
+} // namespace
+
+TEST_GROUP(invalid_answer_test){};
+
+/// Guards against passing on a response whose status is none (RFC 9110, 15).
+TEST(invalid_answer_test, an_order_answered_with_an_invalid_status_has_an_unknown_outcome)
+{
+    check_orders(answers_of_invalid_status(fields));
+    check_calls(answers_of_invalid_status({}));
+}
+
+TEST(invalid_answer_test, a_read_answered_with_an_invalid_status_is_sent_again)
+{
+    for (const auto& row : answers_of_invalid_status(fields)) {
+        scripted_server server{{row.text, success("plan")}};
+        path_fixture host{server.address()};
+        const auto response = host.exchange(read_one);
+        STRNCMP_EQUAL_TEXT("HTTP/1.1 200", response.c_str(), 12, row.name.c_str());
+        CHECK_EQUAL_TEXT(2, server.requests(), row.name.c_str());
+    }
+}
--- /dev/null
+++ b/test/runtime/invalid_answer_test.cpp
@@ -0,0 +1,80 @@
+// Servers and hosts whose answers are invalid.
+
+#include "invalid_answers.h"
+
+#include "figreach/grant_codec.h"
+#include "figreach/runtime/grant_client.h"
+#include "property.h"
+
+using namespace figreach;
+
+namespace {
+
+const std::string order = "POST /a HTTP/1.1\r\nHost: x\r\nX-Figreach-Service: s\r\n"
+                          "X-Figreach-Key: k\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
+/// Sends an order to a server, and through another host, that answers with these bytes.
+std::vector<std::string> send_orders(const invalid_answer& row)
+{
+    std::vector<std::string> out;
+    for (const bool is_server : {true, false}) {
+        invalid_server upstream{row.text};
+        {
+            plane_fixture host{is_server ? upstream.address() : "127.0.0.1:1",
+                               is_server ? std::string{} : upstream.address()};
+            out.push_back(host.ask(order));
+        }
+        CHECK_EQUAL_TEXT(1, upstream.requests(), row.name.c_str());
+    }
+    return out;
+}
+
+void check_unknown(const std::vector<invalid_answer>& rows)
+{
+    for (const auto& row : rows) {
+        for (const auto& response : send_orders(row)) {
+            const auto text = row.name + ": " + response;
+            CHECK_TRUE_TEXT(response.starts_with("HTTP/1.1 502"), text.c_str());
+            CHECK_TRUE_TEXT(response.find("outcome_unknown") != std::string::npos, text.c_str());
+        }
+    }
+}
+
+/// Sends a grant to a server that answers with these bytes.
+server_answered send_grant(const invalid_answer& row)
+{
+    invalid_server server{row.text};
+    ring<control_event> inbox{1, [] {}};
+    grant_client client{inbox};
+    (void)client.call({.server = {"b"},
+                       .address = server.address(),
+                       .request = {.coordinator = {"h1"}, .sequence = 1, .term = 1},
+                       .timeout = seconds{20}});
+    std::optional<control_event> event;
+    wait_for([&] { return (event = inbox.pop()).has_value(); });
+    return std::get<server_answered>(event.value());
+}
+
+const std::string grant_body = to_json(grant_answer{.accepted = true, .sequence = 1, .term = 1});
+
+void check_grants(const std::vector<invalid_answer>& rows)
+{
+    for (const auto& row : rows) {
+        CHECK_FALSE_TEXT(send_grant(row).answer.has_value(), row.name.c_str());
+    }
+}
+
+} // namespace
+
+TEST_GROUP(invalid_answer_test){};
+
+/// Guards against passing on a response whose status is none (RFC 9110, 15).
+TEST(invalid_answer_test, an_order_answered_with_an_invalid_status_has_an_unknown_outcome)
+{
+    check_unknown(answers_of_invalid_status({}));
+}
+
+TEST(invalid_answer_test, a_grant_answered_with_an_invalid_status_has_no_answer)
+{
+    check_grants(answers_of_invalid_status({}, grant_body));
+}
--- /dev/null
+++ b/test/runtime/invalid_answers.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <iterator>
+#include <string>
+#include <vector>
+
+#include "plane_fixture.h"
+
+namespace figreach {
+
+/// Bytes that a server sends in place of a valid answer.
+struct invalid_answer {
+    std::string name;
+    std::string text;
+};
+
+/// A server that answers each request with the same bytes and ends its side of the connection.
+class invalid_server {
+public:
+    explicit invalid_server(std::string text_)
+        : text{std::move(text_)}, upstream{[this](tcp::socket& socket) { this->serve(socket); }}
+    {
+    }
+
+    [[nodiscard]] std::string address() const { return this->upstream.address(); }
+    [[nodiscard]] int requests() const { return this->served; }
+    /// Connections that were reset after the answer.
+    [[nodiscard]] int resets() const { return this->reset; }
+
+private:
+    void serve(tcp::socket& socket)
+    {
+        std::string rest;
+        if (read_head(socket, rest).empty()) {
+            return;
+        }
+        ++this->served;
+        boost::system::error_code failed;
+        boost::asio::write(socket, boost::asio::buffer(this->text), failed);
+        socket.shutdown(tcp::socket::shutdown_send, failed);
+        failed = {};
+        std::vector<char> chunk(64 * 1024);
+        while (!failed) {
+            socket.read_some(boost::asio::buffer(chunk), failed);
+        }
+        this->reset += failed == boost::asio::error::connection_reset ? 1 : 0;
+    }
+
+    std::string text;
+    std::atomic<int> served{0};
+    std::atomic<int> reset{0};
+    fake_upstream upstream;
+};
+
+/// An answer with a length.
+inline std::string whole_answer(const std::string& status_line, const std::string& fields,
+                                const std::string& body)
+{
+    return status_line + "\r\n" + fields + "Content-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+inline void append(std::vector<invalid_answer>& all, std::vector<invalid_answer> more)
+{
+    all.insert(all.end(), std::make_move_iterator(more.begin()),
+               std::make_move_iterator(more.end()));
+}
+
+/// Responses with this status, of which some are followed by a valid answer.
+inline std::vector<invalid_answer>
+answers_of_status(const std::string& status, const std::string& fields, const std::string& body)
+{
+    const auto ok = whole_answer("HTTP/1.1 200 OK", fields, body);
+    const auto line = "HTTP/1.1 " + status + " Odd";
+    const auto head = line + "\r\n" + fields;
+    return {
+        {status, whole_answer(line, fields, body)},
+        {status + ", HTTP/1.0", whole_answer("HTTP/1.0 " + status + " Odd", fields, body)},
+        {status + " without length", head + "\r\n" + body},
+        {status + " and an answer", head + "\r\n" + ok},
+        {status + " without a body and an answer", head + "Content-Length: 0\r\n\r\n" + ok},
+    };
+}
+
+/// Responses with a status that is invalid or that no request asks for.
+inline std::vector<invalid_answer> answers_of_invalid_status(const std::string& fields,
+                                                             const std::string& body = "plan")
+{
+    std::vector<invalid_answer> out;
+    for (const auto* status : {"000", "001", "042", "099", "101", "600", "999"}) {
+        append(out, answers_of_status(status, fields, body));
+    }
+    for (const auto* line : {"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 -20 OK",
+                             "HTTP/1.1 +20 OK", "HTTP/1.1  00 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 ",
+                             "HTTP/2.0 200 OK", "HTTP/0.9 200 OK"}) {
+        out.push_back({line, whole_answer(line, fields, body)});
+    }
+    return out;
+}
+
+} // namespace figreach
