Interim responses are skipped in every reader

Callers of hosts that relay got an interim response (100, 103) as the final answer, and the connection was reused with the final one still to come. Calls to servers, other hosts and the store and grants took it as an answer as well: an order that was done had no outcome.

Cause: relay(), call_on() and grant_client read one head. Only exchange() skipped interim responses.

Change: read_final_head() skips up to three of them. An interim response has no body, whatever its fields say: what follows is read as the next head, and bytes that are none end the exchange.

Evidence: invalid_answer_test of both products. Before the fix, an_interim_response_without_a_final_one failed in both ("100 only") and the_final_response_behind_interim_ones in runtime ("100"); after it both pass in both. Orders sent by exchange() held already.

--- a/include/figreach/runtime/response_check.h
+++ b/include/figreach/runtime/response_check.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -7,6 +9,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -15,6 +18,9 @@
 
 // What every reader of responses checks, whoever sent them.
 
+/// Maximum number of interim responses that are skipped before the final one.
+inline constexpr int max_interim_responses = 3;
+
 /// Whether a valid status is that of an interim response, which the final one follows.
 [[nodiscard]] bool is_interim(unsigned status);
 
@@ -42,4 +48,22 @@
     co_return failed ? failed : check_response_head(parser.get());
 }
 
+/// Reads the head of the final response. `parser` is made anew for each head, and `set_limits` is
+/// applied to it. Fails with http::error::bad_status if there are too many interim responses.
+template <class Body, class SetLimits>
+boost::asio::awaitable<boost::beast::error_code>
+read_final_head(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
+                std::optional<boost::beast::http::response_parser<Body>>& parser,
+                SetLimits set_limits)
+{
+    for (int skipped = 0; skipped <= max_interim_responses; ++skipped) {
+        set_limits(parser.emplace());
+        const auto failed = co_await read_response_head(stream, buffer, *parser);
+        if (failed || !is_interim(parser->get().result_int())) {
+            co_return failed;
+        }
+    }
+    co_return boost::beast::http::error::bad_status;
+}
+
 } // namespace figreach
--- a/src/direct/runtime/http_client.cpp
+++ b/src/direct/runtime/http_client.cpp
@@ -1,6 +1,7 @@
 #include "figreach/direct/runtime/http_client.h"
 
 #include <algorithm>
+#include <optional>
 #include <tuple>
 #include <utility>
 
@@ -46,18 +47,19 @@
         reset(connection);
         co_return call_failure::no_answer;
     }
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(max_answer_bytes);
-    auto read_error = co_await read_response_head(connection.stream, connection.buffer, parser);
+    std::optional<http::response_parser<http::string_body>> parser;
+    auto read_error =
+        co_await read_final_head(connection.stream, connection.buffer, parser,
+                                 [&](auto& next) { next.body_limit(max_answer_bytes); });
     if (!read_error) {
         std::tie(read_error, std::ignore) =
-            co_await http::async_read(connection.stream, connection.buffer, parser, no_throw);
+            co_await http::async_read(connection.stream, connection.buffer, *parser, no_throw);
     }
     if (read_error) {
         reset(connection);
         co_return call_failure::no_answer;
     }
-    co_return parser.release();
+    co_return parser->release();
 }
 
 bool leaves_reusable(const http_result& result)
--- a/src/runtime/grant_client.cpp
+++ b/src/runtime/grant_client.cpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -77,14 +78,15 @@
         request.body() = to_json(what.request);
         request.prepare_payload();
         co_await http::async_write(connection->stream, request, asio::use_awaitable);
-        http::response_parser<http::string_body> parser;
-        if (co_await read_response_head(connection->stream, connection->buffer, parser)) {
+        std::optional<http::response_parser<http::string_body>> parser;
+        if (co_await read_final_head(connection->stream, connection->buffer, parser,
+                                     [](auto&) {})) {
             reset(*connection);
             co_return std::nullopt;
         }
-        co_await http::async_read(connection->stream, connection->buffer, parser,
+        co_await http::async_read(connection->stream, connection->buffer, *parser,
                                   asio::use_awaitable);
-        const auto answer = parser.release();
+        const auto answer = parser->release();
         auto parsed = parse_grant_answer(answer.body());
         if (answer.keep_alive()) {
             this->pool.give_back(what.address, std::move(connection));
--- a/src/runtime/relay.cpp
+++ b/src/runtime/relay.cpp
@@ -358,10 +358,11 @@
     return out;
 }
 
-/// Reads the header of the answer. Meanwhile a disconnect of the caller cancels the request, if
-/// that is allowed.
+/// Reads the header of the final answer. Meanwhile a disconnect of the caller cancels the request,
+/// if that is allowed.
 asio::awaitable<relay_ending> await_answer(inbound_request caller, upstream_connection& upstream,
-                                           answer_parser& answer, const relay_options& options)
+                                           std::optional<answer_parser>& answer,
+                                           const relay_options& options)
 {
     bool left = false;
     std::optional<caller_watch> watch;
@@ -371,7 +372,13 @@
             upstream.stream.cancel();
         });
     }
-    const auto failed = co_await read_response_head(upstream.stream, upstream.buffer, answer);
+    const bool without_body = caller.parser.get().method() == http::verb::head;
+    const auto failed = co_await read_final_head(upstream.stream, upstream.buffer, answer,
+                                                 [without_body](answer_parser& next) {
+                                                     next.body_limit(boost::none);
+                                                     next.header_limit(max_answer_header_bytes);
+                                                     next.skip(without_body);
+                                                 });
     if (!failed) {
         co_return relay_ending::answered;
     }
@@ -426,16 +433,14 @@
     }
     // Even if sending failed, an answer may have arrived: an upstream may answer and close before
     // it has read the whole request.
-    answer_parser answer;
-    answer.body_limit(boost::none);
-    answer.header_limit(max_answer_header_bytes);
-    answer.skip(caller.parser.get().method() == http::verb::head);
-    const auto waited = co_await await_answer(caller, upstream, answer, options);
+    std::optional<answer_parser> parser;
+    const auto waited = co_await await_answer(caller, upstream, parser, options);
     result.keep_caller = caller.parser.is_done() && caller.parser.get().keep_alive();
     if (waited != relay_ending::answered) {
         result.ending = waited;
         co_return result;
     }
+    auto& answer = *parser;
     if (is_cut_off(answer, sent.error)) {
         result.ending = ending_after_send(deadline);
         co_return result;
--- a/test/direct/invalid_answer_test.cpp
+++ b/test/direct/invalid_answer_test.cpp
@@ -53,6 +53,7 @@
 std::vector<http_result> call(const std::string& text)
 {
     invalid_server server{text};
+    invalid_server order_server{text};
     asio::io_context io;
     http_client client{io};
     process_continuity processes;
@@ -62,7 +63,7 @@
     const auto call_both = [&]() -> asio::awaitable<void> {
         const auto until = monotonic_time::clock::now() + seconds{20};
         out.push_back(co_await client.call(server.address(), post, until));
-        out.push_back(co_await orders.call(server.address(), post, until,
+        out.push_back(co_await orders.call(order_server.address(), post, until,
                                            [] { return monotonic_time::max(); }));
     };
     asio::co_spawn(io, call_both, asio::detached);
@@ -87,7 +88,7 @@
 
 TEST_GROUP(invalid_answer_test){};
 
-/// Guards against passing on a response whose status is none (RFC 9110, 15).
+/// Guards against passing on a response whose status is invalid.
 TEST(invalid_answer_test, an_order_answered_with_an_invalid_status_has_an_unknown_outcome)
 {
     check_orders(answers_of_invalid_status(fields));
@@ -104,3 +105,26 @@
         CHECK_EQUAL_TEXT(2, server.requests(), row.name.c_str());
     }
 }
+
+TEST(invalid_answer_test, an_interim_response_without_a_final_one_is_no_answer)
+{
+    check_orders(answers_without_final_one(fields));
+    check_calls(answers_without_final_one({}));
+}
+
+TEST(invalid_answer_test, the_final_response_behind_interim_ones_is_the_answer)
+{
+    for (const auto& row : interim_responses(own_id)) {
+        scripted_server server{{row.text + success("plan")}};
+        path_fixture host{server.address()};
+        const auto response = host.exchange(order_one);
+        STRNCMP_EQUAL_TEXT("HTTP/1.1 200", response.c_str(), 12, row.name.c_str());
+        CHECK_TRUE_TEXT(response.ends_with("\r\n\r\nplan"), row.name.c_str());
+        for (const auto& result : call(row.text + answer("200 OK", "", "plan"))) {
+            const auto* received = std::get_if<http_response>(&result);
+            CHECK_TRUE_TEXT(received != nullptr, row.name.c_str());
+            CHECK_EQUAL_TEXT(200, received->result_int(), row.name.c_str());
+            STRCMP_EQUAL_TEXT("plan", received->body().c_str(), row.name.c_str());
+        }
+    }
+}
--- a/test/runtime/invalid_answer_test.cpp
+++ b/test/runtime/invalid_answer_test.cpp
@@ -68,7 +68,7 @@
 
 TEST_GROUP(invalid_answer_test){};
 
-/// Guards against passing on a response whose status is none (RFC 9110, 15).
+/// Guards against passing on a response whose status is invalid.
 TEST(invalid_answer_test, an_order_answered_with_an_invalid_status_has_an_unknown_outcome)
 {
     check_unknown(answers_of_invalid_status({}));
@@ -78,3 +78,24 @@
 {
     check_grants(answers_of_invalid_status({}, grant_body));
 }
+
+TEST(invalid_answer_test, an_interim_response_without_a_final_one_is_no_answer)
+{
+    check_unknown(answers_without_final_one({}));
+    check_grants(answers_without_final_one({}, grant_body));
+}
+
+TEST(invalid_answer_test, the_final_response_behind_interim_ones_is_the_answer)
+{
+    const std::string line = "HTTP/1.1 200 OK";
+    for (const auto& row : interim_responses({})) {
+        for (const auto& response :
+             send_orders({row.name, row.text + whole_answer(line, {}, "plan")})) {
+            const auto text = row.name + ": " + response;
+            CHECK_TRUE_TEXT(response.starts_with(line), text.c_str());
+            CHECK_TRUE_TEXT(response.ends_with("\r\n\r\nplan"), text.c_str());
+        }
+        const auto granted = send_grant({row.name, row.text + whole_answer(line, {}, grant_body)});
+        CHECK_TRUE_TEXT(granted.answer && granted.answer->accepted, row.name.c_str());
+    }
+}
--- a/test/runtime/invalid_answers.h
+++ b/test/runtime/invalid_answers.h
@@ -98,4 +98,40 @@
     return out;
 }
 
+/// Interim responses that no final one follows.
+inline std::vector<invalid_answer> answers_without_final_one(const std::string& fields,
+                                                             const std::string& body = "plan")
+{
+    const auto ok = whole_answer("HTTP/1.1 200 OK", fields, body);
+    const std::string early_hints = "HTTP/1.1 103 Early Hints\r\n" + fields;
+    std::string many;
+    for (int i = 0; i < 10; ++i) {
+        many += early_hints + "\r\n";
+    }
+    return {
+        {"100 only", "HTTP/1.1 100 Continue\r\n" + fields + "\r\n"},
+        {"103 only", early_hints + "\r\n"},
+        {"103 with a body", whole_answer("HTTP/1.1 103 Early Hints", fields, body)},
+        {"103 with a body and an answer",
+         whole_answer("HTTP/1.1 103 Early Hints", fields, body) + ok},
+        {"103 with chunks", early_hints + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"},
+        {"many interim responses", many + ok},
+    };
+}
+
+/// Interim responses that a final one may follow.
+inline std::vector<invalid_answer> interim_responses(const std::string& fields)
+{
+    const std::string early_hints = "HTTP/1.1 103 Early Hints\r\n";
+    return {
+        {"none", ""},
+        {"100", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"102", "HTTP/1.1 102 Processing\r\n" + fields + "\r\n"},
+        {"103", early_hints + fields + "Link: a\r\n\r\n"},
+        {"an unknown interim status", "HTTP/1.1 199 Odd\r\n\r\n"},
+        {"100 and 103", "HTTP/1.1 100 Continue\r\n\r\n" + early_hints + "\r\n"},
+        {"103 with a length", early_hints + "Content-Length: 4\r\n\r\n"},
+    };
+}
+
 } // namespace figreach
