Tests: an answer with a malformed head or trailer is no answer

No change of the code: the parser refuses each byte that no token contains, at the start, between, at the end and behind the names that give the length, control bytes in values and in the reason, bare line ends and ambiguous lengths. Shown for orders of callers and other hosts, through servers and other hosts, and for calls; the order has an unknown outcome, is sent once, and the connection is reset. Hosts that relay have sent the head of an answer in chunks before its trailer is read; such a response stays incomplete.

--- a/test/direct/invalid_answer_test.cpp
+++ b/test/direct/invalid_answer_test.cpp
@@ -128,3 +128,12 @@
         }
     }
 }
+
+/// Guards against passing on a malformed line, or a body whose length it hides.
+TEST(invalid_answer_test, an_order_answered_with_malformed_fields_has_an_unknown_outcome)
+{
+    check_orders(answers_with_invalid_fields(fields));
+    check_orders(answers_with_invalid_trailer(fields));
+    check_calls(answers_with_invalid_fields({}));
+    check_calls(answers_with_invalid_trailer({}));
+}
--- a/test/runtime/invalid_answer_test.cpp
+++ b/test/runtime/invalid_answer_test.cpp
@@ -99,3 +99,22 @@
         CHECK_TRUE_TEXT(granted.answer && granted.answer->accepted, row.name.c_str());
     }
 }
+
+/// Guards against passing on a malformed line, or a body whose length it hides.
+TEST(invalid_answer_test, an_order_answered_with_malformed_fields_has_an_unknown_outcome)
+{
+    check_unknown(answers_with_invalid_fields({}));
+}
+
+/// An answer in chunks is sent on while it is read: it must not look complete.
+TEST(invalid_answer_test, an_answer_with_a_malformed_trailer_is_incomplete)
+{
+    for (const auto& row : answers_with_invalid_trailer({})) {
+        for (const auto& response : send_orders(row)) {
+            const auto text = row.name + ": " + response;
+            CHECK_TRUE_TEXT(response.find("Transfer-Encoding: chunked") != std::string::npos,
+                            text.c_str());
+            CHECK_FALSE_TEXT(response.ends_with("0\r\n\r\n"), text.c_str());
+        }
+    }
+}
--- a/test/runtime/invalid_answers.h
+++ b/test/runtime/invalid_answers.h
@@ -134,4 +134,80 @@
     };
 }
 
+/// Answers in which this byte, which no token contains, is part of the name of a field.
+inline std::vector<invalid_answer> answers_with_byte_in_name(char byte, const std::string& fields)
+{
+    const auto name = "byte " + std::to_string(static_cast<unsigned char>(byte));
+    const auto head = "HTTP/1.1 200 OK\r\n" + fields;
+    const std::string end = "Content-Length: 4\r\n\r\nplan";
+    const auto chunks = ": chunked\r\n\r\n4\r\nplan\r\n0\r\n\r\n";
+    return {
+        {name + " first", std::string{"HTTP/1.1 200 OK\r\n"} + byte + "X: a\r\n" + fields + end},
+        {name + " between", head + "X" + byte + "Y: a\r\n" + end},
+        {name + " last", head + "X" + byte + ": a\r\n" + end},
+        {name + " behind Content-Length", head + "Content-Length" + byte + ": 4\r\n\r\nplan"},
+        {name + " behind Transfer-Encoding", head + "Transfer-Encoding" + byte + chunks},
+    };
+}
+
+/// Answers with this control byte in the value of a field and in the reason.
+inline std::vector<invalid_answer> answers_with_byte_in_value(char byte, const std::string& fields)
+{
+    const auto name = "byte " + std::to_string(static_cast<unsigned char>(byte));
+    const auto end = "\r\n" + fields + "Content-Length: 4\r\n\r\nplan";
+    return {
+        {name + " in a value", std::string{"HTTP/1.1 200 OK\r\nX: a"} + byte + "b" + end},
+        {name + " in the reason", std::string{"HTTP/1.1 200 O"} + byte + "K" + end},
+    };
+}
+
+/// Answers whose head is malformed.
+inline std::vector<invalid_answer> answers_with_invalid_fields(const std::string& fields)
+{
+    const auto head = "HTTP/1.1 200 OK\r\n" + fields;
+    const std::string end = "Content-Length: 4\r\n\r\nplan";
+    const std::string coding = "Transfer-Encoding: chunked\r\n";
+    const std::string chunk = "4\r\nplan\r\n0\r\n";
+    std::vector<invalid_answer> out{
+        {"no name", head + ": a\r\n" + end},
+        {"no colon", head + "X\r\n" + end},
+        {"bare CR in a value", head + "X: a\rY: b\r\n" + end},
+        {"bare LF behind a value", head + "X: a\nY: b\r\n" + end},
+        {"bare CR in the status line", "HTTP/1.1 200 OK\rX: a\r\n" + fields + end},
+        {"two lengths", head + "Content-Length: 2\r\n" + end},
+        {"a length that is no number", head + "Content-Length: 4x\r\n\r\nplan"},
+        {"a negative length", head + "Content-Length: -4\r\n\r\nplan"},
+        {"chunks and a length", head + coding + "Content-Length: 4\r\n\r\n" + chunk + "\r\n"},
+        {"a length and chunks", head + "Content-Length: 4\r\n" + coding + "\r\n" + chunk + "\r\n"},
+    };
+    const std::string separators = " \"(),/;<=>?@[\\]{}";
+    for (int code = 0; code < 256; ++code) {
+        const auto byte = static_cast<char>(code);
+        const bool is_control = code < ' ' || code == 0x7f;
+        if (is_control || code > 0x7f || separators.find(byte) != std::string::npos) {
+            append(out, answers_with_byte_in_name(byte, fields));
+        }
+        if (is_control && byte != '\t') {
+            append(out, answers_with_byte_in_value(byte, fields));
+        }
+    }
+    return out;
+}
+
+/// Answers in chunks whose trailer is malformed.
+inline std::vector<invalid_answer> answers_with_invalid_trailer(const std::string& fields)
+{
+    const auto start =
+        "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\nplan\r\n0\r\n";
+    return {
+        {"blank in a name", start + "X Y: a\r\n\r\n"},
+        {"blank before a name", start + " X: a\r\n\r\n"},
+        {"blank behind a name", start + "X : a\r\n\r\n"},
+        {"control byte in a name", start + "X\v: a\r\n\r\n"},
+        {"DEL in a name", start + "X\x7f: a\r\n\r\n"},
+        {"control byte in a value", start + "X: a\vb\r\n\r\n"},
+        {"bare CR", start + "X: a\rb\r\n\r\n"},
+    };
+}
+
 } // namespace figreach
