An answer in a transfer coding other than chunked is not passed on

Callers got bodies as a server had encoded them for its connection: Transfer-Encoding: gzip, alone or with chunks, is taken off on the way, and the bytes were passed on as they were. "chunked, chunked" was passed on with the lines of its chunks.

Cause: the parser decodes chunks if they are the last coding and otherwise reads until the end of the connection; nobody looked at the other codings.

Change: check_response_head() refuses a response with any other coding, so that all readers of both products do.

The stand-in is named raw_server now, as not all of its answers are invalid.

--- a/include/figreach/runtime/response_check.h
+++ b/include/figreach/runtime/response_check.h
@@ -25,7 +25,8 @@
 [[nodiscard]] bool is_interim(unsigned status);
 
 /// Checks the head of a response. Fails with http::error::bad_status for a status that is invalid
-/// (RFC 9110, section 15) or that no request asks for.
+/// (RFC 9110, section 15) or that no request asks for, and with http::error::bad_transfer_encoding
+/// if the body remains encoded once chunks are decoded.
 [[nodiscard]] boost::beast::error_code
 check_response_head(const boost::beast::http::response_header<>& head);
 
--- a/src/runtime/response_check.cpp
+++ b/src/runtime/response_check.cpp
@@ -1,6 +1,9 @@
 #include "figreach/runtime/response_check.h"
 
+#include <algorithm>
+
 #include <boost/asio/error.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 
@@ -16,6 +19,16 @@
 constexpr unsigned first_final = 200;
 constexpr unsigned end_of_final = 600;
 
+/// Whether the body remains encoded once chunks are decoded. Transfer-Encoding concerns one
+/// connection and is not sent on.
+bool has_other_coding(const http::fields& head)
+{
+    const auto [first, last] = head.equal_range(http::field::transfer_encoding);
+    return !std::all_of(first, last, [](const auto& line) {
+        return beast::iequals(line.value(), "chunked") || beast::iequals(line.value(), "identity");
+    });
+}
+
 /// Whether the connection ended otherwise than by a close, of the server or of this host.
 bool is_connection_lost(const beast::error_code& write_error)
 {
@@ -42,6 +55,9 @@
     if (status < first_interim || status >= end_of_final || switches_protocol) {
         return http::error::bad_status;
     }
+    if (has_other_coding(head)) {
+        return http::error::bad_transfer_encoding;
+    }
     return {};
 }
 
--- a/test/direct/invalid_answer_test.cpp
+++ b/test/direct/invalid_answer_test.cpp
@@ -1,6 +1,6 @@
 // Servers, hosts and stores whose answers are invalid.
 
-#include "../runtime/invalid_answers.h"
+#include "../runtime/raw_answers.h"
 
 #include "figreach/direct/runtime/order_client.h"
 #include "path_fixture.h"
@@ -14,8 +14,7 @@
 const std::string order_of_h2 = request("POST /order/1", from_h2 + "Content-Length: 0\r\n");
 
 /// Checks that an order has an unknown outcome, is not sent again and that its connection is reset.
-void check_unknown(const invalid_answer& row, const std::string& response,
-                   const invalid_server& server)
+void check_unknown(const raw_answer& row, const std::string& response, const raw_server& server)
 {
     const auto text = row.name + ": " + response;
     STRNCMP_EQUAL_TEXT("HTTP/1.1 502", response.c_str(), 12, text.c_str());
@@ -27,20 +26,20 @@
 
 /// Sends orders of callers and of other hosts, also through another host, and checks that their
 /// outcome is unknown.
-void check_orders(const std::vector<invalid_answer>& rows)
+void check_orders(const std::vector<raw_answer>& rows)
 {
     for (const auto& row : rows) {
         {
-            invalid_server server{row.text};
+            raw_server server{row.text};
             path_fixture host{server.address()};
             check_unknown(row, host.exchange(order_one), server);
         }
         {
-            invalid_server server{row.text};
+            raw_server server{row.text};
             path_fixture host{server.address()};
             check_unknown(row, host.exchange_as_peer(order_of_h2), server);
         }
-        invalid_server peer{row.text};
+        raw_server peer{row.text};
         const fixture_host own{.name = {"h1"}, .peer_address = local_address(free_port())};
         const fixture_host other{.name = {"h2"}, .peer_address = peer.address()};
         path_fixture host{local_address(free_port()), own, {own, other}};
@@ -52,8 +51,8 @@
 /// The results of one call on a pooled connection and of one order.
 std::vector<http_result> call(const std::string& text)
 {
-    invalid_server server{text};
-    invalid_server order_server{text};
+    raw_server server{text};
+    raw_server order_server{text};
     asio::io_context io;
     http_client client{io};
     process_continuity processes;
@@ -71,7 +70,7 @@
     return out;
 }
 
-void check_calls(const std::vector<invalid_answer>& rows)
+void check_calls(const std::vector<raw_answer>& rows)
 {
     for (const auto& row : rows) {
         const auto results = call(row.text);
@@ -137,3 +136,21 @@
     check_calls(answers_with_invalid_fields({}));
     check_calls(answers_with_invalid_trailer({}));
 }
+
+/// Guards against passing on a body as it was encoded for the connection.
+TEST(invalid_answer_test, an_order_answered_in_another_coding_has_an_unknown_outcome)
+{
+    check_orders(answers_with_other_coding(fields));
+    check_calls(answers_with_other_coding({}));
+}
+
+TEST(invalid_answer_test, an_answer_in_chunks_or_without_coding_is_passed_on)
+{
+    for (const auto& row : answers_in_known_coding(fields)) {
+        raw_server server{row.text};
+        path_fixture host{server.address()};
+        const auto response = host.exchange(order_one);
+        STRNCMP_EQUAL_TEXT("HTTP/1.1 200", response.c_str(), 12, row.name.c_str());
+        CHECK_TRUE_TEXT(response.ends_with("\r\n\r\nplan"), row.name.c_str());
+    }
+}
--- a/test/runtime/invalid_answer_test.cpp
+++ b/test/runtime/invalid_answer_test.cpp
@@ -1,6 +1,6 @@
 // Servers and hosts whose answers are invalid.
 
-#include "invalid_answers.h"
+#include "raw_answers.h"
 
 #include "figreach/grant_codec.h"
 #include "figreach/runtime/grant_client.h"
@@ -14,11 +14,11 @@
                           "X-Figreach-Key: k\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 /// Sends an order to a server, and through another host, that answers with these bytes.
-std::vector<std::string> send_orders(const invalid_answer& row)
+std::vector<std::string> send_orders(const raw_answer& row)
 {
     std::vector<std::string> out;
     for (const bool is_server : {true, false}) {
-        invalid_server upstream{row.text};
+        raw_server upstream{row.text};
         {
             plane_fixture host{is_server ? upstream.address() : "127.0.0.1:1",
                                is_server ? std::string{} : upstream.address()};
@@ -29,7 +29,7 @@
     return out;
 }
 
-void check_unknown(const std::vector<invalid_answer>& rows)
+void check_unknown(const std::vector<raw_answer>& rows)
 {
     for (const auto& row : rows) {
         for (const auto& response : send_orders(row)) {
@@ -41,9 +41,9 @@
 }
 
 /// Sends a grant to a server that answers with these bytes.
-server_answered send_grant(const invalid_answer& row)
+server_answered send_grant(const raw_answer& row)
 {
-    invalid_server server{row.text};
+    raw_server server{row.text};
     ring<control_event> inbox{1, [] {}};
     grant_client client{inbox};
     (void)client.call({.server = {"b"},
@@ -57,7 +57,7 @@
 
 const std::string grant_body = to_json(grant_answer{.accepted = true, .sequence = 1, .term = 1});
 
-void check_grants(const std::vector<invalid_answer>& rows)
+void check_grants(const std::vector<raw_answer>& rows)
 {
     for (const auto& row : rows) {
         CHECK_FALSE_TEXT(send_grant(row).answer.has_value(), row.name.c_str());
@@ -118,3 +118,20 @@
         }
     }
 }
+
+/// Guards against passing on a body as it was encoded for the connection.
+TEST(invalid_answer_test, an_order_answered_in_another_coding_has_an_unknown_outcome)
+{
+    check_unknown(answers_with_other_coding({}));
+}
+
+TEST(invalid_answer_test, an_answer_in_chunks_or_without_coding_is_passed_on)
+{
+    for (const auto& row : answers_in_known_coding({})) {
+        for (const auto& response : send_orders(row)) {
+            const auto text = row.name + ": " + response;
+            CHECK_TRUE_TEXT(response.starts_with("HTTP/1.1 200"), text.c_str());
+            CHECK_TRUE_TEXT(response.ends_with("4\r\nplan\r\n0\r\n\r\n"), text.c_str());
+        }
+    }
+}
--- a/test/runtime/invalid_answers.h
+++ b/test/runtime/raw_answers.h
@@ -8,16 +8,16 @@
 
 namespace figreach {
 
-/// Bytes that a server sends in place of a valid answer.
-struct invalid_answer {
+/// The bytes of an answer, which need not be valid.
+struct raw_answer {
     std::string name;
     std::string text;
 };
 
 /// A server that answers each request with the same bytes and ends its side of the connection.
-class invalid_server {
+class raw_server {
 public:
-    explicit invalid_server(std::string text_)
+    explicit raw_server(std::string text_)
         : text{std::move(text_)}, upstream{[this](tcp::socket& socket) { this->serve(socket); }}
     {
     }
@@ -60,15 +60,15 @@
            "\r\n\r\n" + body;
 }
 
-inline void append(std::vector<invalid_answer>& all, std::vector<invalid_answer> more)
+inline void append(std::vector<raw_answer>& all, std::vector<raw_answer> more)
 {
     all.insert(all.end(), std::make_move_iterator(more.begin()),
                std::make_move_iterator(more.end()));
 }
 
 /// Responses with this status, of which some are followed by a valid answer.
-inline std::vector<invalid_answer>
-answers_of_status(const std::string& status, const std::string& fields, const std::string& body)
+inline std::vector<raw_answer> answers_of_status(const std::string& status,
+                                                 const std::string& fields, const std::string& body)
 {
     const auto ok = whole_answer("HTTP/1.1 200 OK", fields, body);
     const auto line = "HTTP/1.1 " + status + " Odd";
@@ -83,10 +83,10 @@
 }
 
 /// Responses with a status that is invalid or that no request asks for.
-inline std::vector<invalid_answer> answers_of_invalid_status(const std::string& fields,
-                                                             const std::string& body = "plan")
+inline std::vector<raw_answer> answers_of_invalid_status(const std::string& fields,
+                                                         const std::string& body = "plan")
 {
-    std::vector<invalid_answer> out;
+    std::vector<raw_answer> out;
     for (const auto* status : {"000", "001", "042", "099", "101", "600", "999"}) {
         append(out, answers_of_status(status, fields, body));
     }
@@ -99,8 +99,8 @@
 }
 
 /// Interim responses that no final one follows.
-inline std::vector<invalid_answer> answers_without_final_one(const std::string& fields,
-                                                             const std::string& body = "plan")
+inline std::vector<raw_answer> answers_without_final_one(const std::string& fields,
+                                                         const std::string& body = "plan")
 {
     const auto ok = whole_answer("HTTP/1.1 200 OK", fields, body);
     const std::string early_hints = "HTTP/1.1 103 Early Hints\r\n" + fields;
@@ -120,7 +120,7 @@
 }
 
 /// Interim responses that a final one may follow.
-inline std::vector<invalid_answer> interim_responses(const std::string& fields)
+inline std::vector<raw_answer> interim_responses(const std::string& fields)
 {
     const std::string early_hints = "HTTP/1.1 103 Early Hints\r\n";
     return {
@@ -135,7 +135,7 @@
 }
 
 /// Answers in which this byte, which no token contains, is part of the name of a field.
-inline std::vector<invalid_answer> answers_with_byte_in_name(char byte, const std::string& fields)
+inline std::vector<raw_answer> answers_with_byte_in_name(char byte, const std::string& fields)
 {
     const auto name = "byte " + std::to_string(static_cast<unsigned char>(byte));
     const auto head = "HTTP/1.1 200 OK\r\n" + fields;
@@ -151,7 +151,7 @@
 }
 
 /// Answers with this control byte in the value of a field and in the reason.
-inline std::vector<invalid_answer> answers_with_byte_in_value(char byte, const std::string& fields)
+inline std::vector<raw_answer> answers_with_byte_in_value(char byte, const std::string& fields)
 {
     const auto name = "byte " + std::to_string(static_cast<unsigned char>(byte));
     const auto end = "\r\n" + fields + "Content-Length: 4\r\n\r\nplan";
@@ -162,13 +162,13 @@
 }
 
 /// Answers whose head is malformed.
-inline std::vector<invalid_answer> answers_with_invalid_fields(const std::string& fields)
+inline std::vector<raw_answer> answers_with_invalid_fields(const std::string& fields)
 {
     const auto head = "HTTP/1.1 200 OK\r\n" + fields;
     const std::string end = "Content-Length: 4\r\n\r\nplan";
     const std::string coding = "Transfer-Encoding: chunked\r\n";
     const std::string chunk = "4\r\nplan\r\n0\r\n";
-    std::vector<invalid_answer> out{
+    std::vector<raw_answer> out{
         {"no name", head + ": a\r\n" + end},
         {"no colon", head + "X\r\n" + end},
         {"bare CR in a value", head + "X: a\rY: b\r\n" + end},
@@ -195,7 +195,7 @@
 }
 
 /// Answers in chunks whose trailer is malformed.
-inline std::vector<invalid_answer> answers_with_invalid_trailer(const std::string& fields)
+inline std::vector<raw_answer> answers_with_invalid_trailer(const std::string& fields)
 {
     const auto start =
         "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\nplan\r\n0\r\n";
@@ -210,4 +210,34 @@
     };
 }
 
+/// Answers whose body is still encoded when the chunks are decoded.
+inline std::vector<raw_answer> answers_with_other_coding(const std::string& fields)
+{
+    const auto head = "HTTP/1.1 200 OK\r\n" + fields;
+    const std::string chunks = "\r\n\r\n4\r\nplan\r\n0\r\n\r\n";
+    return {
+        {"gzip", head + "Transfer-Encoding: gzip\r\n\r\nplan"},
+        {"gzip and a length", head + "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n\r\nplan"},
+        {"gzip in chunks", head + "Transfer-Encoding: gzip, chunked" + chunks},
+        {"gzip in chunks, two lines",
+         head + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked" + chunks},
+        {"gzip of chunks", head + "Transfer-Encoding: chunked, gzip" + chunks},
+        {"chunks twice", head + "Transfer-Encoding: chunked, chunked" + chunks},
+        {"an unknown coding", head + "Transfer-Encoding: xchunked" + chunks},
+        {"a parameter of chunked", head + "Transfer-Encoding: chunked;q=1" + chunks},
+    };
+}
+
+/// Valid answers with a Transfer-Encoding.
+inline std::vector<raw_answer> answers_in_known_coding(const std::string& fields)
+{
+    const auto head = "HTTP/1.1 200 OK\r\n" + fields;
+    const std::string chunks = "\r\n\r\n4\r\nplan\r\n0\r\n\r\n";
+    return {
+        {"chunked", head + "Transfer-Encoding: chunked" + chunks},
+        {"Chunked", head + "Transfer-Encoding:\tChunked " + chunks},
+        {"identity", head + "Transfer-Encoding: identity\r\n\r\nplan"},
+    };
+}
+
 } // namespace figreach
