An answer to another request that ends the connection is the last one

A caller waited until its deadline when a late answer to another request had no length and ended the connection on which its own answer was expected.

Cause: such an answer is read until the end of the stream. exchange() skipped it and read again, and a read behind the end of the stream is not completed: the system reports the end once.

Change: the exchange ends as lost, closed by the server, and the connection is reset at once.

--- a/src/direct/runtime/exchange.cpp
+++ b/src/direct/runtime/exchange.cpp
@@ -66,10 +66,19 @@
     co_return is_cut_off(response, progress->error);
 }
 
-exchange_result lost(std::string detail)
+exchange_result lost(std::string detail, bool leaving = false)
 {
-    return {
-        .outcome = exchange_outcome::lost, .answer = {}, .head = {}, .detail = std::move(detail)};
+    return {.outcome = exchange_outcome::lost,
+            .answer = {},
+            .head = {.leaving = leaving},
+            .detail = std::move(detail)};
+}
+
+exchange_result closed_by_server(std::string detail, bool leaving)
+{
+    auto out = lost(std::move(detail), leaving);
+    out.closed_by_server = true;
+    return out;
 }
 
 bool is_closed_by_peer(const beast::error_code& failed)
@@ -152,13 +161,15 @@
         }
         const bool lacks_id = head.request_id.empty() && !upstream.reused && stray == 0;
         if (head.request_id != request_id && !lacks_id) {
+            if (parser.need_eof()) {
+                // The end of the stream is read once; another read would wait until the deadline.
+                reset(upstream);
+                co_return closed_by_server("closed after an answer to another request", leaving);
+            }
             continue;
         }
         if (co_await ended_by_reset(upstream, parser, progress)) {
-            auto result = lost("connection reset before the end of the response");
-            result.closed_by_server = true;
-            result.head.leaving = leaving;
-            co_return result;
+            co_return closed_by_server("reset before the end of the answer", leaving);
         }
         if (!is_success(answer.result_int())) {
             upstream.failed_ids.push_back(request_id);
@@ -176,18 +187,14 @@
         auto reason = rejection_reason(answer, head);
         if (!reason.empty()) {
             reset(upstream);
-            auto result = lost(std::move(reason));
-            result.head.leaving = leaving;
-            co_return result;
+            co_return lost(std::move(reason), leaving);
         }
         co_return exchange_result{.outcome = exchange_outcome::answered,
                                   .answer = std::move(answer),
                                   .head = std::move(head)};
     }
     reset(upstream);
-    auto result = lost("answers to other requests only");
-    result.head.leaving = leaving;
-    co_return result;
+    co_return lost("answers to other requests only", leaving);
 }
 
 http_request make_upstream_message(const http_request& message)
--- a/test/direct/invalid_answer_test.cpp
+++ b/test/direct/invalid_answer_test.cpp
@@ -154,3 +154,14 @@
         CHECK_TRUE_TEXT(response.ends_with("\r\n\r\nplan"), row.name.c_str());
     }
 }
+
+/// Guards against waiting until the deadline for an answer that cannot come any more.
+TEST(invalid_answer_test, an_answer_to_another_request_that_ends_the_connection_is_the_last)
+{
+    const auto other = "Figreach-Request-Id: 77\r\n" + signature;
+    check_orders({
+        {"no length", "HTTP/1.1 200 OK\r\n" + other + "\r\nplan"},
+        {"HTTP/1.0", "HTTP/1.0 200 OK\r\n" + other + "\r\nplan"},
+        {"length", whole_answer("HTTP/1.1 200 OK", other, "plan")},
+    });
+}
