invalid_answer_test: one host serves the table of bytes

The test failed when it was run several times within a minute ("bind: Address already in use"): each of about 1,000 rows started hosts of its own, and there were 28,000 closed connections then, as many as there are ports.

The rows of single bytes go to one host and one server now; each is still checked for its status, for one arrival and, in direct, for the reset.

--- a/test/direct/invalid_answer_test.cpp
+++ b/test/direct/invalid_answer_test.cpp
@@ -48,6 +48,26 @@
     }
 }
 
+/// As check_orders() without other hosts, for tables of many rows: one host serves all of them.
+void check_many_orders(const std::vector<raw_answer>& rows)
+{
+    raw_server server;
+    path_fixture host{server.address()};
+    int sent = 0;
+    for (const auto& row : rows) {
+        server.set_answer(row.text);
+        for (const auto& response :
+             {host.exchange(order_one), host.exchange_as_peer(order_of_h2)}) {
+            const auto text = row.name + ": " + response;
+            STRNCMP_EQUAL_TEXT("HTTP/1.1 502", response.c_str(), 12, text.c_str());
+        }
+        sent += 2;
+        wait_for([&] { return server.resets() == sent; });
+        CHECK_EQUAL_TEXT(sent, server.requests(), row.name.c_str());
+        CHECK_EQUAL_TEXT(sent, server.resets(), row.name.c_str());
+    }
+}
+
 /// The results of one call on a pooled connection and of one order.
 std::vector<http_result> call(const std::string& text)
 {
@@ -133,8 +153,12 @@
 {
     check_orders(answers_with_invalid_fields(fields));
     check_orders(answers_with_invalid_trailer(fields));
+    check_orders(answers_with_byte_in_name(' ', fields));
+    check_orders(answers_with_byte_in_name('\v', fields));
+    check_many_orders(answers_with_invalid_byte(fields));
     check_calls(answers_with_invalid_fields({}));
     check_calls(answers_with_invalid_trailer({}));
+    check_calls(answers_with_invalid_byte({}));
 }
 
 /// Guards against passing on a body as it was encoded for the connection.
--- a/test/runtime/invalid_answer_test.cpp
+++ b/test/runtime/invalid_answer_test.cpp
@@ -40,6 +40,22 @@
     }
 }
 
+/// As check_unknown(), for tables of many rows: one host serves all of them.
+void check_many_unknown(const std::vector<raw_answer>& rows)
+{
+    raw_server server;
+    plane_fixture host{server.address()};
+    int sent = 0;
+    for (const auto& row : rows) {
+        server.set_answer(row.text);
+        const auto text = row.name + ": " + host.ask(order);
+        CHECK_TRUE_TEXT(text.find(": HTTP/1.1 502") != std::string::npos, text.c_str());
+        CHECK_TRUE_TEXT(text.find("outcome_unknown") != std::string::npos, text.c_str());
+        ++sent;
+        CHECK_EQUAL_TEXT(sent, server.requests(), text.c_str());
+    }
+}
+
 /// Sends a grant to a server that answers with these bytes.
 server_answered send_grant(const raw_answer& row)
 {
@@ -104,6 +120,9 @@
 TEST(invalid_answer_test, an_order_answered_with_malformed_fields_has_an_unknown_outcome)
 {
     check_unknown(answers_with_invalid_fields({}));
+    check_unknown(answers_with_byte_in_name(' ', {}));
+    check_unknown(answers_with_byte_in_name('\v', {}));
+    check_many_unknown(answers_with_invalid_byte({}));
 }
 
 /// An answer in chunks is sent on while it is read: it must not look complete.
