--- a/review/12/case.cc
+++ b/review/12/case.cc
@@ -21,7 +21,7 @@
 
 constexpr unsigned worker_count = 6;
 constexpr unsigned faulty_count = 3;
-constexpr unsigned request_count = 60;
+constexpr unsigned request_count = 100;
 constexpr milliseconds gap{100};
 constexpr milliseconds route_timeout{2000};
 constexpr milliseconds slack{500};
--- a/review/standin-3/lab.cc
+++ b/review/standin-3/lab.cc
@@ -626,6 +626,7 @@
     auto& text = this->read_ahead;
     bool paused = pause <= milliseconds{0};
     std::optional<std::size_t> total;
+    std::optional<monotonic_time> first; ///< when the first bytes came
     out.ending = "timeout";
     for (;;) {
         const auto head_end = text.find("\r\n\r\n");
@@ -662,11 +663,12 @@
             break;
         }
         text.append(chunk.data(), static_cast<std::size_t>(count));
+        first = first.value_or(monotonic_time::clock::now());
         if (this->rate > 0) {
             const std::chrono::duration<double> due{static_cast<double>(text.size()) /
                                                     static_cast<double>(this->rate)};
             std::this_thread::sleep_until(
-                start + std::min(std::chrono::duration_cast<monotonic_time::duration>(due),
+                *first + std::min(std::chrono::duration_cast<monotonic_time::duration>(due),
                                  monotonic_time::duration{this->slow_for}));
         }
     }
