--- a/review/12/case.cc
+++ b/review/12/case.cc
@@ -66,12 +66,13 @@
     const bool trouble = has_trouble();
     lab all{arguments[1]};
     std::atomic<unsigned> endless{0};
-    const answer_hook hook = [&](worker& one, boost::beast::tcp_stream& stream,
-                                 const direct::http_request& request)
-        -> asio::awaitable<answer_hook_result> {
+    const answer_hook hook =
+        [&](worker& one, boost::beast::tcp_stream& stream,
+            const direct::http_request& request) -> asio::awaitable<answer_hook_result> {
         const std::string id{request["Figreach-Request-Id"]};
         const bool is_work = request.target().starts_with("/read/");
-        if (!trouble || !is_work || std::string{request["Figreach-Expect-Instance"]} != one.spec.id) {
+        if (!trouble || !is_work ||
+            std::string{request["Figreach-Expect-Instance"]} != one.spec.id) {
             co_return answer_hook_result{};
         }
         ++endless;
@@ -145,12 +146,12 @@
         late += !one.result.complete || one.result.took > route_timeout + slack ? 1 : 0;
     }
     const bool broken = late >= min_late && late * 4 > over_timeout;
-    const std::string summary =
-        std::to_string(request_count) + " requests, " + std::to_string(served) + " served, " +
-        std::to_string(endless) + " sends with an endless answer, " +
-        std::to_string(over_timeout) + " unanswered at the timeout of the route, " +
-        std::to_string(late) + " of them without an answer " + std::to_string(slack.count()) +
-        " ms later; CONFIG " + (broken ? "broken" : "held");
+    const std::string summary = std::to_string(request_count) + " requests, " +
+                                std::to_string(served) + " served, " + std::to_string(endless) +
+                                " sends with an endless answer, " + std::to_string(over_timeout) +
+                                " unanswered at the timeout of the route, " + std::to_string(late) +
+                                " of them without an answer " + std::to_string(slack.count()) +
+                                " ms later; CONFIG " + (broken ? "broken" : "held");
     all.record.write(summary);
     std::cout << summary << std::endl;
     if (!alive || served == 0) {
--- a/review/14/case.cc
+++ b/review/14/case.cc
@@ -53,9 +53,9 @@
         one.spec.id = one.spec.id.substr(0, one.spec.id.find('.')) + "." + std::to_string(++lives);
         one.start();
     };
-    const answer_hook hook = [&](worker& one, boost::beast::tcp_stream&,
-                                 const direct::http_request& request)
-        -> asio::awaitable<answer_hook_result> {
+    const answer_hook hook =
+        [&](worker& one, boost::beast::tcp_stream&,
+            const direct::http_request& request) -> asio::awaitable<answer_hook_result> {
         if (!request.target().starts_with(poison) ||
             std::string{request["Figreach-Expect-Instance"]} != one.spec.id) {
             co_return answer_hook_result{};
--- a/review/standin-3/lab.cc
+++ b/review/standin-3/lab.cc
@@ -106,8 +106,7 @@
 lab::lab(std::filesystem::path folder_)
     : store{this->io, this->model, 1},
       record{folder_ / "record.txt"},
-      folder{std::filesystem::temp_directory_path() /
-             ("review-3-" + std::to_string(::getpid()))},
+      folder{std::filesystem::temp_directory_path() / ("review-3-" + std::to_string(::getpid()))},
       guard{this->io.get_executor()}
 {
     std::filesystem::create_directories(this->folder);
@@ -155,16 +154,17 @@
     ++this->version;
     json::array resources;
     for (const auto& one : routes) {
-        resources.push_back(json::object{{"type", "routes"},
-                                         {"metadata", json::object{{"name", "r-" + one.path}}},
-                                         {"spec", json::object{{"host", caller_host},
-                                                               {"prefix", "/" + one.path + "/"},
-                                                               {"service", one.service},
-                                                               {"route_type", one.type},
-                                                               {"timeout_s", one.timeout_s},
-                                                               {"latency_target_s", one.objective_s},
-                                                               {"attempts", one.attempts},
-                                                               {"priority", 1}}}});
+        resources.push_back(
+            json::object{{"type", "routes"},
+                         {"metadata", json::object{{"name", "r-" + one.path}}},
+                         {"spec", json::object{{"host", caller_host},
+                                               {"prefix", "/" + one.path + "/"},
+                                               {"service", one.service},
+                                               {"route_type", one.type},
+                                               {"timeout_s", one.timeout_s},
+                                               {"latency_target_s", one.objective_s},
+                                               {"attempts", one.attempts},
+                                               {"priority", 1}}}});
     }
     for (const auto& one : services) {
         resources.push_back(json::object{{"type", "services"},
@@ -206,11 +206,10 @@
     this->running = 0;
     this->held = {};
     if (!this->acceptor.is_open()) {
-        const auto port =
-            this->address.empty()
-                ? free_port()
-                : static_cast<std::uint16_t>(
-                      std::stoul(this->address.substr(this->address.rfind(':') + 1)));
+        const auto port = this->address.empty()
+                              ? free_port()
+                              : static_cast<std::uint16_t>(
+                                    std::stoul(this->address.substr(this->address.rfind(':') + 1)));
         this->address = loopback(port);
         const tcp::endpoint at{asio::ip::address_v4::loopback(), port};
         this->acceptor.open(at.protocol());
@@ -281,12 +280,11 @@
         {"status", json::object{{"state", this->draining ? "draining" : "ready"},
                                 {"seq", ++this->reports},
                                 {"cold_left_s", 0}}}};
-    const direct::store_transaction what{
-        .conditions = {},
-        .writes = {{.key = name::servers_prefix + this->spec.id,
-                    .value = json::serialize(entry),
-                    .lease = {.id = this->lease}}},
-        .removals = {}};
+    const direct::store_transaction what{.conditions = {},
+                                         .writes = {{.key = name::servers_prefix + this->spec.id,
+                                                     .value = json::serialize(entry),
+                                                     .lease = {.id = this->lease}}},
+                                         .removals = {}};
     static_cast<void>(this->all.model.commit(what, now));
     this->all.store.notify();
 }
@@ -296,8 +294,7 @@
     http_response out;
     out.result(status);
     out.set(name::answering_server, this->spec.id);
-    out.set(name::load,
-            std::to_string(this->running) + ",0," + std::to_string(this->spec.slots));
+    out.set(name::load, std::to_string(this->running) + ",0," + std::to_string(this->spec.slots));
     if (this->draining) {
         out.set(name::server_leaving, "1");
     }
@@ -479,8 +476,7 @@
 
 bool entry_host::is_running()
 {
-    if (this->process != 0 &&
-        ::waitpid(this->process, &this->status, WNOHANG) == this->process) {
+    if (this->process != 0 && ::waitpid(this->process, &this->status, WNOHANG) == this->process) {
         this->process = 0;
         this->all.record.write("host " + this->name + " has ended, status " +
                                std::to_string(this->status));
@@ -649,8 +645,8 @@
             text.erase(0, *total);
             break;
         }
-        const auto left = std::chrono::duration_cast<milliseconds>(
-            until - monotonic_time::clock::now());
+        const auto left =
+            std::chrono::duration_cast<milliseconds>(until - monotonic_time::clock::now());
         pollfd ready{.fd = this->socket, .events = POLLIN, .revents = 0};
         if (this->socket < 0 || left <= milliseconds{0} ||
             ::poll(&ready, 1, static_cast<int>(left.count())) <= 0) {
@@ -669,14 +665,13 @@
                                                     static_cast<double>(this->rate)};
             std::this_thread::sleep_until(
                 *first + std::min(std::chrono::duration_cast<monotonic_time::duration>(due),
-                                 monotonic_time::duration{this->slow_for}));
+                                  monotonic_time::duration{this->slow_for}));
         }
     }
     if (!out.complete && total) {
         out.body = text.substr(std::min(text.size(), out.head.size() + 2));
     }
-    out.took =
-        std::chrono::duration_cast<milliseconds>(monotonic_time::clock::now() - start);
+    out.took = std::chrono::duration_cast<milliseconds>(monotonic_time::clock::now() - start);
     return out;
 }
 
--- a/review/standin-3/lab.hh
+++ b/review/standin-3/lab.hh
@@ -217,8 +217,8 @@
     call_result call(const call_spec& what, milliseconds longest,
                      milliseconds pause = milliseconds{0});
     void close();
-    /// Reads no more than this many bytes a second for some time after the first bytes of an answer,
-    /// and then as fast as they come.
+    /// Reads no more than this many bytes a second for some time after the first bytes of an
+    /// answer, and then as fast as they come.
     void read_slowly(std::size_t bytes_per_s, milliseconds time)
     {
         this->rate = bytes_per_s;
