Reads end at their deadline although bytes are always available

Cause: the deadline of an exchange was the timer of its tcp_stream, which is started anew for each read and cancelled when the read ends. While bytes are always available the read ends first. The same held for calls to servers, hosts and the store, for bodies of callers and of other hosts, and for relay and grant_client of the other product.

Change: all readers of messages use timed_read, which looks at the clock before each read. Bytes that have arrived by a deadline that has passed are read once more, so that a host short of processor time still delivers an answer that came in time.

--- a/include/figreach/runtime/response_check.h
+++ b/include/figreach/runtime/response_check.h
@@ -2,9 +2,7 @@
 
 #include <optional>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -12,7 +10,8 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
+
+#include "figreach/runtime/timed_read.h"
 
 namespace figreach {
 
@@ -41,11 +40,9 @@
 template <class Body>
 boost::asio::awaitable<boost::beast::error_code>
 read_response_head(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
-                   boost::beast::http::response_parser<Body>& parser)
+                   boost::beast::http::response_parser<Body>& parser, read_deadline& deadline)
 {
-    constexpr auto no_throw = boost::asio::as_tuple(boost::asio::use_awaitable);
-    const auto [failed, count] =
-        co_await boost::beast::http::async_read_header(stream, buffer, parser, no_throw);
+    const auto failed = co_await read_header(stream, buffer, parser, deadline);
     co_return failed ? failed : check_response_head(parser.get());
 }
 
@@ -55,11 +52,11 @@
 boost::asio::awaitable<boost::beast::error_code>
 read_final_head(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
                 std::optional<boost::beast::http::response_parser<Body>>& parser,
-                SetLimits set_limits)
+                read_deadline& deadline, SetLimits set_limits)
 {
     for (int skipped = 0; skipped <= max_interim_responses; ++skipped) {
         set_limits(parser.emplace());
-        const auto failed = co_await read_response_head(stream, buffer, *parser);
+        const auto failed = co_await read_response_head(stream, buffer, *parser, deadline);
         if (failed || !is_interim(parser->get().result_int())) {
             co_return failed;
         }
--- a/src/direct/runtime/caller_connection.cpp
+++ b/src/direct/runtime/caller_connection.cpp
@@ -19,6 +19,7 @@
 
 #include "figreach/runtime/caller_watch.h"
 #include "figreach/runtime/log.h"
+#include "figreach/runtime/read_deadline.h"
 #include "figreach/runtime/relay.h"
 #include "figreach/runtime/request_framing.h"
 #include "figreach/runtime/scoped_count.h"
@@ -261,7 +262,8 @@
             co_return false;
         }
     }
-    const auto failed = co_await read_counted(this->stream, this->buffer, parser, counted,
+    read_deadline deadline{until};
+    const auto failed = co_await read_counted(this->stream, this->buffer, parser, deadline, counted,
                                               max_buffered_request_bytes);
     if (failed == http::error::buffer_overflow) {
         this->refuse(error_kind::overloaded);
@@ -417,12 +419,13 @@
 {
     beast::error_code failed;
     this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, failed);
-    this->stream.expires_after(linger_timeout);
+    const auto until = monotonic_time::clock::now() + linger_timeout;
+    this->stream.expires_at(until);
+    read_deadline deadline{until};
     std::array<char, linger_chunk_bytes> chunk{};
     while (!failed) {
-        const auto [ended, count] =
-            co_await this->stream.async_read_some(asio::buffer(chunk), no_throw);
-        failed = ended;
+        const auto result = co_await read_some(this->stream, asio::buffer(chunk), deadline);
+        failed = result.first;
     }
 }
 
--- a/src/direct/runtime/exchange.cpp
+++ b/src/direct/runtime/exchange.cpp
@@ -9,10 +9,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "figreach/direct/runtime/counted_body.h"
+#include "figreach/runtime/read_deadline.h"
 #include "figreach/runtime/relay.h"
 #include "figreach/runtime/response_check.h"
 
@@ -128,6 +128,7 @@
 {
     auto& upstream = *connection;
     upstream.stream.expires_at(deadline);
+    read_deadline read_until{deadline};
     const auto progress = std::make_shared<write_progress>(write_progress{
         .on_ended = asio::steady_timer{upstream.stream.get_executor(), monotonic_time::max()}});
     asio::co_spawn(upstream.stream.get_executor(), write_request(connection, request, progress),
@@ -141,10 +142,11 @@
         parser.body_limit(max_answer_bytes);
         parser.skip(request->method() == http::verb::head);
         counted_body counted{buffered_bytes};
-        auto failed = co_await read_response_head(upstream.stream, upstream.buffer, parser);
+        auto failed =
+            co_await read_response_head(upstream.stream, upstream.buffer, parser, read_until);
         if (!failed) {
-            failed = co_await read_counted(upstream.stream, upstream.buffer, parser, counted,
-                                           max_buffered_bytes);
+            failed = co_await read_counted(upstream.stream, upstream.buffer, parser, read_until,
+                                           counted, max_buffered_bytes);
         }
         if (failed) {
             auto result = result_for_error(upstream, failed, deadline);
--- a/src/direct/runtime/http_client.cpp
+++ b/src/direct/runtime/http_client.cpp
@@ -2,15 +2,15 @@
 
 #include <algorithm>
 #include <optional>
-#include <tuple>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "figreach/direct/runtime/counted_body.h"
+#include "figreach/runtime/read_deadline.h"
 #include "figreach/runtime/response_check.h"
 
 namespace figreach::direct {
@@ -48,12 +48,15 @@
         co_return call_failure::no_answer;
     }
     std::optional<http::response_parser<http::string_body>> parser;
+    read_deadline read_until{deadline};
+    std::uint64_t body_bytes = 0;
+    counted_body counted{body_bytes};
     auto read_error =
-        co_await read_final_head(connection.stream, connection.buffer, parser,
+        co_await read_final_head(connection.stream, connection.buffer, parser, read_until,
                                  [&](auto& next) { next.body_limit(max_answer_bytes); });
     if (!read_error) {
-        std::tie(read_error, std::ignore) =
-            co_await http::async_read(connection.stream, connection.buffer, *parser, no_throw);
+        read_error = co_await read_counted(connection.stream, connection.buffer, *parser,
+                                           read_until, counted, max_answer_bytes);
     }
     if (read_error) {
         reset(connection);
--- a/src/direct/runtime/peer_server.cpp
+++ b/src/direct/runtime/peer_server.cpp
@@ -9,7 +9,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "figreach/direct/runtime/counted_body.h"
@@ -18,6 +17,7 @@
 #include "figreach/runtime/caller_watch.h"
 #include "figreach/runtime/connection_pool.h"
 #include "figreach/runtime/log.h"
+#include "figreach/runtime/read_deadline.h"
 #include "figreach/runtime/scoped_count.h"
 
 namespace figreach::direct {
@@ -69,18 +69,18 @@
     while (open) {
         http::request_parser<http::string_body> parser;
         parser.body_limit(max_body_bytes);
-        stream.expires_after(idle_timeout);
-        const auto [failed, count] =
-            co_await http::async_read_header(stream, buffer, parser, no_throw);
-        if (failed) {
+        const auto read_until = monotonic_time::clock::now() + idle_timeout;
+        stream.expires_at(read_until);
+        read_deadline deadline{read_until};
+        if (co_await read_header(stream, buffer, parser, deadline)) {
             co_return;
         }
         counted_body counted{this->state.buffered_bytes};
         counted.grow_to(parser.content_length().value_or(0));
         boost::beast::error_code unread = http::error::buffer_overflow;
         if (counted.all_bytes() <= max_buffered_request_bytes) {
-            unread =
-                co_await read_counted(stream, buffer, parser, counted, max_buffered_request_bytes);
+            unread = co_await read_counted(stream, buffer, parser, deadline, counted,
+                                           max_buffered_request_bytes);
         }
         if (unread) {
             // The other host finds the connection closed, which promises nothing.
--- a/src/runtime/admin_server.cpp
+++ b/src/runtime/admin_server.cpp
@@ -11,11 +11,13 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "figreach/runtime/connection_pool.h"
+#include "figreach/runtime/read_deadline.h"
+#include "figreach/runtime/timed_read.h"
 
 namespace figreach {
 
@@ -73,9 +75,13 @@
         while (open) {
             http::request_parser<http::string_body> parser;
             parser.body_limit(max_body_bytes);
-            stream.expires_after(idle_timeout);
-            const auto [failed, count] =
-                co_await http::async_read(stream, buffer, parser, no_throw);
+            const auto read_until = monotonic_time::clock::now() + idle_timeout;
+            stream.expires_at(read_until);
+            read_deadline deadline{read_until};
+            auto failed = co_await read_header(stream, buffer, parser, deadline);
+            if (!failed) {
+                failed = co_await read_body(stream, buffer, parser, deadline);
+            }
             if (failed) {
                 co_return;
             }
--- a/src/runtime/caller_session.cpp
+++ b/src/runtime/caller_session.cpp
@@ -8,12 +8,13 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include "figreach/runtime/caller_watch.h"
+#include "figreach/runtime/read_deadline.h"
 #include "figreach/runtime/relay_outcome.h"
 #include "figreach/runtime/request_framing.h"
 #include "figreach/runtime/scoped_count.h"
+#include "figreach/runtime/timed_read.h"
 
 namespace figreach {
 
@@ -167,10 +168,11 @@
     request_parser parser;
     parser.header_limit(max_header_bytes);
     parser.body_limit(max_body_bytes);
-    this->stream.expires_after(idle_timeout);
+    const auto read_until = monotonic_time::clock::now() + idle_timeout;
+    this->stream.expires_at(read_until);
+    read_deadline deadline{read_until};
     this->idle = true;
-    const auto [failed, count] =
-        co_await http::async_read_header(this->stream, this->buffer, parser, no_throw);
+    const auto failed = co_await read_header(this->stream, this->buffer, parser, deadline);
     this->idle = false;
     this->served = {};
     const inbound_request caller{.stream = this->stream, .buffer = this->buffer, .parser = parser};
@@ -516,12 +518,13 @@
     if (failed) {
         co_return;
     }
-    this->stream.expires_after(linger_timeout);
+    const auto until = monotonic_time::clock::now() + linger_timeout;
+    this->stream.expires_at(until);
+    read_deadline deadline{until};
     std::array<char, linger_chunk_bytes> chunk{};
     std::size_t drained = 0;
     while (drained < max_linger_bytes) {
-        const auto [bad, count] =
-            co_await this->stream.async_read_some(asio::buffer(chunk), no_throw);
+        const auto [bad, count] = co_await read_some(this->stream, asio::buffer(chunk), deadline);
         if (bad) {
             co_return;
         }
--- a/src/runtime/grant_client.cpp
+++ b/src/runtime/grant_client.cpp
@@ -13,12 +13,12 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "figreach/grant_codec.h"
 #include "figreach/runtime/connection_pool.h"
+#include "figreach/runtime/read_deadline.h"
 #include "figreach/runtime/response_check.h"
 
 namespace figreach {
@@ -79,13 +79,17 @@
         request.prepare_payload();
         co_await http::async_write(connection->stream, request, asio::use_awaitable);
         std::optional<http::response_parser<http::string_body>> parser;
-        if (co_await read_final_head(connection->stream, connection->buffer, parser,
-                                     [](auto&) {})) {
+        read_deadline read_until{deadline};
+        auto failed = co_await read_final_head(connection->stream, connection->buffer, parser,
+                                               read_until, [](auto&) {});
+        if (!failed) {
+            failed =
+                co_await read_body(connection->stream, connection->buffer, *parser, read_until);
+        }
+        if (failed) {
             reset(*connection);
             co_return std::nullopt;
         }
-        co_await http::async_read(connection->stream, connection->buffer, *parser,
-                                  asio::use_awaitable);
         const auto answer = parser->release();
         auto parsed = parse_grant_answer(answer.body());
         if (answer.keep_alive()) {
--- a/src/runtime/relay.cpp
+++ b/src/runtime/relay.cpp
@@ -12,7 +12,6 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -20,7 +19,9 @@
 
 #include "figreach/request_head.h"
 #include "figreach/runtime/caller_watch.h"
+#include "figreach/runtime/read_deadline.h"
 #include "figreach/runtime/response_check.h"
+#include "figreach/runtime/timed_read.h"
 
 namespace figreach {
 
@@ -93,13 +94,14 @@
                                         monotonic_time deadline)
 {
     const deadline_guard guard{caller.stream, deadline};
+    read_deadline read_until{deadline};
     std::array<char, chunk_bytes> chunk{};
     while (!writer.is_done()) {
         if (!caller.parser.is_done()) {
             caller.parser.get().body().data = chunk.data();
             caller.parser.get().body().size = chunk.size();
-            const auto [failed, count] =
-                co_await http::async_read(caller.stream, caller.buffer, caller.parser, no_throw);
+            const auto failed =
+                co_await read_body(caller.stream, caller.buffer, caller.parser, read_until);
             if (!is_expected(failed)) {
                 co_return send_result{.caller_left = true};
             }
@@ -178,15 +180,14 @@
 
 /// Reads the whole body of a short answer, so that the caller gets it completely or not at all.
 asio::awaitable<bool> read_short_body(upstream_connection& upstream, answer_parser& answer,
-                                      std::string& body)
+                                      read_deadline& deadline, std::string& body)
 {
     body.resize(answer.content_length().value_or(0));
     std::size_t filled = 0;
     while (!answer.is_done()) {
         answer.get().body().data = body.data() + filled;
         answer.get().body().size = body.size() - filled;
-        const auto [failed, count] =
-            co_await http::async_read(upstream.stream, upstream.buffer, answer, no_throw);
+        const auto failed = co_await read_body(upstream.stream, upstream.buffer, answer, deadline);
         filled = body.size() - answer.get().body().size;
         if (!is_expected(failed)) {
             co_return false;
@@ -232,8 +233,8 @@
 
 /// Streams an answer of any length to the caller in chunks.
 asio::awaitable<relay_ending> stream_answer(inbound_request caller, upstream_connection& upstream,
-                                            answer_parser& answer, const relay_options& options,
-                                            bool keep_caller)
+                                            answer_parser& answer, read_deadline& deadline,
+                                            const relay_options& options, bool keep_caller)
 {
     http::response<http::buffer_body> out;
     static_cast<http::fields&>(out) = end_to_end_fields(answer.get());
@@ -261,8 +262,8 @@
         if (!answer.is_done()) {
             answer.get().body().data = chunk.data();
             answer.get().body().size = chunk.size();
-            const auto [failed, count] =
-                co_await http::async_read(upstream.stream, upstream.buffer, answer, no_throw);
+            const auto failed =
+                co_await read_body(upstream.stream, upstream.buffer, answer, deadline);
             if (!is_expected(failed)) {
                 co_return relay_ending::truncated;
             }
@@ -290,8 +291,8 @@
 }
 
 asio::awaitable<relay_ending> pass_answer(inbound_request caller, upstream_connection& upstream,
-                                          answer_parser& answer, const relay_options& options,
-                                          relay_result& result)
+                                          answer_parser& answer, read_deadline& deadline,
+                                          const relay_options& options, relay_result& result)
 {
     const bool keep_caller = result.keep_caller;
     if (answer.is_done()) {
@@ -304,7 +305,7 @@
     const auto length = answer.content_length();
     if (length && *length <= max_buffered_answer_bytes) {
         std::string body;
-        if (!co_await read_short_body(upstream, answer, body)) {
+        if (!co_await read_short_body(upstream, answer, deadline, body)) {
             co_return relay_ending::lost;
         }
         if (options.keep_answer) {
@@ -313,7 +314,7 @@
         options.upstream_done();
         co_return co_await pass_short_answer(caller, answer, std::move(body), keep_caller);
     }
-    co_return co_await stream_answer(caller, upstream, answer, options, keep_caller);
+    co_return co_await stream_answer(caller, upstream, answer, deadline, options, keep_caller);
 }
 
 milliseconds retry_after_of(const http::fields& answer)
@@ -327,7 +328,7 @@
 /// Stores the refusal in `result` if the upstream reports that it did not run the request. Returns
 /// false for any other answer.
 asio::awaitable<bool> try_read_refusal(upstream_connection& upstream, answer_parser& answer,
-                                       relay_result& result)
+                                       read_deadline& deadline, relay_result& result)
 {
     const auto& head = answer.get();
     const auto length = answer.content_length();
@@ -340,7 +341,8 @@
     result.retry_after = retry_after_of(head);
     result.refusal_name = std::string{head[field::error]};
     std::string body;
-    const bool whole = answer.is_done() || co_await read_short_body(upstream, answer, body);
+    const bool whole =
+        answer.is_done() || co_await read_short_body(upstream, answer, deadline, body);
     result.keep_upstream = whole && answer.get().keep_alive();
     co_return true;
 }
@@ -362,7 +364,7 @@
 /// if that is allowed.
 asio::awaitable<relay_ending> await_answer(inbound_request caller, upstream_connection& upstream,
                                            std::optional<answer_parser>& answer,
-                                           const relay_options& options)
+                                           read_deadline& deadline, const relay_options& options)
 {
     bool left = false;
     std::optional<caller_watch> watch;
@@ -373,7 +375,7 @@
         });
     }
     const bool without_body = caller.parser.get().method() == http::verb::head;
-    const auto failed = co_await read_final_head(upstream.stream, upstream.buffer, answer,
+    const auto failed = co_await read_final_head(upstream.stream, upstream.buffer, answer, deadline,
                                                  [without_body](answer_parser& next) {
                                                      next.body_limit(boost::none);
                                                      next.header_limit(max_answer_header_bytes);
@@ -434,7 +436,8 @@
     // Even if sending failed, an answer may have arrived: an upstream may answer and close before
     // it has read the whole request.
     std::optional<answer_parser> parser;
-    const auto waited = co_await await_answer(caller, upstream, parser, options);
+    read_deadline read_until{deadline};
+    const auto waited = co_await await_answer(caller, upstream, parser, read_until, options);
     result.keep_caller = caller.parser.is_done() && caller.parser.get().keep_alive();
     if (waited != relay_ending::answered) {
         result.ending = waited;
@@ -446,7 +449,7 @@
         co_return result;
     }
     result.incarnation = parse_number(answer.get()[field::incarnation]);
-    if (co_await try_read_refusal(upstream, answer, result)) {
+    if (co_await try_read_refusal(upstream, answer, read_until, result)) {
         co_return result;
     }
     if (answer.get()[field::error] == name_of(error_kind::outcome_unknown)) {
@@ -456,7 +459,7 @@
     }
     result.status = answer.get().result_int();
     const bool upstream_keeps_alive = answer.get().keep_alive() && !sent.error;
-    result.ending = co_await pass_answer(caller, upstream, answer, options, result);
+    result.ending = co_await pass_answer(caller, upstream, answer, read_until, options, result);
     if (result.ending == relay_ending::lost) {
         result.ending = ending_after_send(deadline);
     }
@@ -474,6 +477,7 @@
                                                        monotonic_time deadline)
 {
     const deadline_guard guard{caller.stream, deadline};
+    read_deadline read_until{deadline};
     if (!co_await send_continue_if_expected(caller)) {
         co_return std::nullopt;
     }
@@ -482,8 +486,8 @@
     while (!caller.parser.is_done()) {
         caller.parser.get().body().data = body.data() + filled;
         caller.parser.get().body().size = body.size() - filled;
-        const auto [failed, count] =
-            co_await http::async_read(caller.stream, caller.buffer, caller.parser, no_throw);
+        const auto failed =
+            co_await read_body(caller.stream, caller.buffer, caller.parser, read_until);
         filled = body.size() - caller.parser.get().body().size;
         if (!is_expected(failed)) {
             co_return std::nullopt;
--- /dev/null
+++ b/test/runtime/read_deadline_test.cpp
@@ -0,0 +1,45 @@
+#include "figreach/runtime/read_deadline.h"
+
+#include "../property.h"
+
+using namespace figreach;
+
+namespace {
+
+struct read_row {
+    const char* name;
+    milliseconds at; ///< relative to the deadline
+    std::size_t available;
+    bool allowed;
+};
+
+// In this order, with one deadline.
+const read_row read_rows[] = {
+    {"waits before the deadline", milliseconds{-5}, 0, true},
+    {"bytes before the deadline", milliseconds{-1}, 10, true},
+    {"nothing has arrived by the deadline", milliseconds{0}, 0, false},
+    {"bytes that come later", milliseconds{1}, 10, false},
+};
+
+} // namespace
+
+TEST_GROUP(read_deadline_test){};
+
+/// Guards against reading on beyond the deadline while bytes are always available.
+TEST(read_deadline_test, reads_end_at_the_deadline)
+{
+    const auto at = monotonic_time::clock::now();
+    read_deadline deadline{at};
+    for (const auto& row : read_rows) {
+        CHECK_EQUAL_TEXT(row.allowed, deadline.allows_read(at + row.at, row.available), row.name);
+    }
+}
+
+/// Guards against dropping an answer that has arrived while the host got no processor time.
+TEST(read_deadline_test, what_has_arrived_by_then_is_read_once)
+{
+    const auto at = monotonic_time::clock::now();
+    read_deadline deadline{at};
+    CHECK_TRUE(deadline.allows_read(at + milliseconds{100}, 10));
+    CHECK_FALSE(deadline.allows_read(at + milliseconds{100}, 10));
+}
