Bound the buffers of callers' and hosts' connections

A caller, or another host, that sent a chunk line without end had all of it buffered until the time for the body was over (10 s by default).

Cause: the parser needs a whole line of the framing in its buffer. Only the buffers of connections to backend servers had a bound.

Change: the same bound of 256 KiB for all; a longer line ends the request with 413.

--- a/include/figreach/direct/runtime/caller_connection.h
+++ b/include/figreach/direct/runtime/caller_connection.h
@@ -62,7 +62,7 @@
     host_context& state;
     store_feed& feed;
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{max_read_buffer_bytes};
     request_pipeline pipeline;
     std::deque<std::shared_ptr<exchange_state>> exchanges; ///< in the order of the pipeline
     boost::asio::steady_timer silence; ///< bounds how long the caller may send nothing
--- a/include/figreach/direct/runtime/counted_body.h
+++ b/include/figreach/direct/runtime/counted_body.h
@@ -45,7 +45,7 @@
 
 /// Reads the rest of a message and counts its body as it arrives. Fails with
 /// boost::beast::http::error::buffer_overflow once all bodies exceed `max_all_bytes`, and with
-/// boost::beast::http::error::body_limit once the framing exceeds max_framing_bytes.
+/// boost::beast::http::error::body_limit once the framing, or one line of it, is too long.
 template <bool is_request>
 boost::asio::awaitable<boost::beast::error_code>
 read_counted(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
@@ -59,7 +59,8 @@
         const std::uint64_t body_bytes = parser.get().body().size();
         parsed += count;
         counted.grow_to(body_bytes);
-        failed = read_error;
+        const bool is_long_line = read_error == boost::beast::http::error::buffer_overflow;
+        failed = is_long_line ? boost::beast::http::error::body_limit : read_error;
         if (!failed && counted.all_bytes() > max_all_bytes) {
             failed = boost::beast::http::error::buffer_overflow;
         }
--- a/include/figreach/runtime/caller_session.h
+++ b/include/figreach/runtime/caller_session.h
@@ -93,7 +93,7 @@
 
     request_thread& thread;
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{max_read_buffer_bytes};
     bool idle = false;
     served_request served; ///< the current request
 };
--- a/include/figreach/runtime/connection_pool.h
+++ b/include/figreach/runtime/connection_pool.h
@@ -12,17 +12,15 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include "figreach/runtime/timed_read.h"
 #include "figreach/time.h"
 
 namespace figreach {
 
-/// Upper bound of the bytes that are read ahead on a connection. A line without end exceeds it.
-inline constexpr std::size_t max_upstream_buffer_bytes = 256 * 1024;
-
 /// One connection to a backend server or to another entry host.
 struct upstream_connection {
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer{max_upstream_buffer_bytes};
+    boost::beast::flat_buffer buffer{max_read_buffer_bytes};
     bool reused = false;
     monotonic_time connected_at{};                     ///< including time spent suspended
     monotonic_time idle_until = monotonic_time::max(); ///< not reused later than this
--- a/include/figreach/runtime/timed_read.h
+++ b/include/figreach/runtime/timed_read.h
@@ -18,6 +18,9 @@
 // boost::beast::error::timeout then and leave the stream open. The timer of the stream has to be
 // set as well: it ends a read that waits for bytes.
 
+/// Bound of the bytes that are buffered on a connection. A line without end exceeds it.
+inline constexpr std::size_t max_read_buffer_bytes = 256 * 1024;
+
 /// An error and a number of bytes.
 using read_result = std::pair<boost::beast::error_code, std::size_t>;
 
--- a/src/direct/runtime/peer_server.cpp
+++ b/src/direct/runtime/peer_server.cpp
@@ -64,7 +64,7 @@
 asio::awaitable<void> peer_server::serve(tcp::socket socket)
 {
     boost::beast::tcp_stream stream{std::move(socket)};
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{max_read_buffer_bytes};
     bool open = true;
     while (open) {
         http::request_parser<http::string_body> parser;
--- a/test/direct/endless_request_test.cpp
+++ b/test/direct/endless_request_test.cpp
@@ -20,6 +20,8 @@
     {"chunks of one byte", request("POST /order/1", chunked), "1\r\nx\r\n", "HTTP/1.1 413"},
     {"chunks of one byte with extensions", request("POST /order/1", chunked),
      "1;" + std::string(1000, 'a') + "\r\nx\r\n", "HTTP/1.1 413"},
+    {"a chunk line", request("POST /order/1", chunked) + "1;", std::string(1000, 'a'),
+     "HTTP/1.1 413"},
     {"bytes behind a request that is refused", "GET / HTTP/1.1\r\nHost\r\n\r\n",
      std::string(1000, 'a'), "HTTP/1.1 400"},
 };
