Record requests that crash servers in the store

Cause: what is known of such requests was in the memory of the hosts only.

Change: the leader writes suspected and held requests, from two counted losses on, to figreach/crashes under its term: after a change, at most once a second, and each 10 s while there are any; at most 64 requests. The item is in the part of the store that a host reads before it answers its first request, so a start takes no further call. It holds ages: a hold ends late rather than early, and still ends if hosts are restarted again and again. Losses from the record are marked; what hosts have seen or reported goes before them, any clearance removes them, and hosts drop those that a leader does not report.

--- a/include/figreach/direct/cluster_state.h
+++ b/include/figreach/direct/cluster_state.h
@@ -60,6 +60,11 @@
     leader_term term;
 };
 
+struct crash_record_update {
+    crash_record record;
+    store_revision revision;
+};
+
 /// A malformed item. It does not change the state.
 struct unreadable_item {
     std::string key;
@@ -72,7 +77,7 @@
 
 using item_update = std::variant<configuration_update, server_update, server_removal, domain_update,
                                  key_table_update, host_update, host_removal, leader_update,
-                                 term_update, unreadable_item, ignored_item>;
+                                 term_update, crash_record_update, unreadable_item, ignored_item>;
 
 /// Decodes an item under own_prefix or its removal.
 [[nodiscard]] item_update decode_own_item(const store_change& change);
@@ -122,6 +127,8 @@
     [[nodiscard]] const key_table* keys(const service_id& service) const;
     /// Store revision of that table. Its number is 0 if the table is not known.
     [[nodiscard]] store_revision keys_revision(const service_id& service) const;
+    /// The latest one that could be read; its revision has number 0 if there is none.
+    [[nodiscard]] const crash_record_update& crashes() const;
     [[nodiscard]] bool is_out(const failure_domain_id& domain) const;
     /// Hosts that are registered or were within host_retention, sorted by name. A host that is
     /// partitioned from the store loses its registration but may still serve and send orders.
@@ -174,6 +181,8 @@
                       monotonic_time now);
     void apply_update(const term_update& update, std::vector<state_change>& out,
                       monotonic_time now);
+    void apply_update(const crash_record_update& update, std::vector<state_change>& out,
+                      monotonic_time now);
     void apply_update(const unreadable_item& update, std::vector<state_change>& out,
                       monotonic_time now);
     void apply_update(const ignored_item& update, std::vector<state_change>& out,
@@ -191,6 +200,7 @@
     std::map<backend_server_id, server_update> set_aside;
     std::shared_ptr<route_table> current_routes;
     std::map<service_id, key_table_update> tables;
+    crash_record_update stored_crashes;
     std::set<failure_domain_id> domains_out;
     std::set<failure_domain_id> domains_unlisted; ///< missing in a restored store; still out
     monotonic_time restore_grace_until{};
--- a/include/figreach/direct/crash_report.h
+++ b/include/figreach/direct/crash_report.h
@@ -19,6 +19,7 @@
     milliseconds ran{0};                   ///< from the send to the loss
     milliseconds age{0};                   ///< since the loss
     std::optional<milliseconds> alive_age; ///< since the latest sign of life of the server
+    bool stored = false; ///< read from the store: the loss may be older than `age`
 
     friend bool operator==(const reported_loss&, const reported_loss&) = default;
 };
--- a/include/figreach/direct/crash_suspects.h
+++ b/include/figreach/direct/crash_suspects.h
@@ -16,6 +16,9 @@
 
 namespace figreach::direct {
 
+/// Most requests in the store's record of those that crash servers.
+inline constexpr std::size_t max_recorded_requests = 64;
+
 struct crash_suspects_settings {
     std::size_t suspect_losses = 2; ///< from which a request is suspected
     /// From which it is held, unless others that were lost with all the same servers may be the
@@ -102,6 +105,16 @@
     void finish(const request_digest& digest, bool sent);
 
     void merge(const crash_report& report, monotonic_time now);
+    /// Takes over what the store holds. It may be out of date: it does not replace what this host
+    /// has seen or hosts have reported, and any clearance removes it. Its ages are those of the
+    /// write, so that holds may last longer, but do not end early.
+    void restore(const std::vector<crash_report>& reports, monotonic_time now);
+    /// Drops what restore() added and the leader, which has read the store as well, no longer
+    /// reports.
+    void keep_restored(const std::vector<crash_report>& reported, monotonic_time now);
+    /// What the store should hold: suspected and held requests, those with the most losses first,
+    /// with the losses that are not refuted.
+    [[nodiscard]] std::vector<crash_report> record(monotonic_time now) const;
     /// What all hosts need to know: requests with enough losses to be suspected, and which of them
     /// were cleared lately.
     [[nodiscard]] std::vector<crash_report> reports(monotonic_time now) const;
@@ -123,6 +136,7 @@
         monotonic_time sent_at{};
         failure_domain_id failure_domain;
         host_id sender;
+        bool stored = false; ///< read from the store, not seen or reported by a host
     };
     struct suspect {
         std::map<server_lifetime, loss> losses;
--- a/include/figreach/direct/follow.h
+++ b/include/figreach/direct/follow.h
@@ -61,6 +61,8 @@
     /// From the latest confirmation of the configuration to the arrival of the request; negative if
     /// it was confirmed while the request waited. Empty if unknown.
     std::optional<milliseconds> configuration_age = std::nullopt;
+    /// Whether `crashes` includes what the store holds of requests that crash servers.
+    bool has_crash_record = false;
 };
 
 /// The leader as known to a host that is not the leader itself.
--- a/include/figreach/direct/runtime/host_context.h
+++ b/include/figreach/direct/runtime/host_context.h
@@ -11,6 +11,7 @@
 
 #include "figreach/direct/cluster_state.h"
 #include "figreach/direct/cold_checks.h"
+#include "figreach/direct/crash_record_schedule.h"
 #include "figreach/direct/crash_suspects.h"
 #include "figreach/direct/direct_settings.h"
 #include "figreach/direct/peer_health.h"
@@ -75,6 +76,12 @@
     void merge_rate_limits(const std::vector<rate_limit_report>& reports, const host_id& from);
     /// Merges what another host reports about requests that crash backend servers.
     void merge_crash_reports(const std::vector<crash_report>& reports);
+    /// Takes over what the leader reports about such requests.
+    void apply_leader_crash_reports(const std::vector<crash_report>& reports,
+                                    bool has_crash_record);
+    /// Takes over the store's record of such requests if this process has just started and no
+    /// leader has told it more.
+    void apply_crash_record();
     /// Looks for signs of life of the servers that ended sends, and logs changes.
     void refresh_crash_suspects(monotonic_time now);
     void log_crash_changes();
@@ -116,6 +123,9 @@
     server_rests rests;
     refused_keys refused;
     crash_suspects suspects;
+    crash_record_schedule crash_record_writes; ///< used while this host leads
+    store_revision crash_record_seen;          ///< number 0: none
+    bool has_leader_crashes = false; ///< a leader that has read the record has told what it knows
     std::set<backend_server_id> invalid_rate_limits; ///< servers whose last field was invalid
     std::set<backend_server_id> invalid_rests;       ///< servers that sent an invalid time
     connection_pool server_connections;              ///< connections for caller requests
@@ -130,6 +140,7 @@
     peer_health peers;
     std::map<service_id, retry_budget> retry_budgets;
     std::uint64_t random_state;
+    store_era first_seen_era{}; ///< of the store, when this process started
     /// When the latest era of the store was first seen, including time spent suspended.
     monotonic_time era_seen_at{};
     /// When this host loads again what it knows of the store's former era, at the latest.
@@ -140,6 +151,7 @@
     bool stopping = false;
     monotonic_time stop_until = monotonic_time::max(); ///< requests are cut off then
     bool leads = false;                                ///< this host is the leader and assigns keys
+    std::uint64_t led_term = 0;                        ///< set while it leads
     /// Revisions of key tables that this host has written and not yet seen in its watch.
     std::vector<store_revision> unseen_tables;
     /// Grant calls in progress. While there are any, this host does not tell others that it has
--- a/include/figreach/direct/runtime/leadership.h
+++ b/include/figreach/direct/runtime/leadership.h
@@ -68,6 +68,7 @@
         grant_manager_settings manager_settings;
         milliseconds former_hold{0}; ///< maximum grant duration of earlier leaders
         std::map<service_id, service_state> services;
+        monotonic_time next_crash_check{};
         std::uint32_t pending_calls = 0;
         std::set<host_id> followers; ///< hosts that polled this leader during the term
         /// Hosts that may still send orders of an earlier term; nullopt if unknown.
@@ -112,6 +113,9 @@
                                                send_order action, monotonic_time deadline);
     boost::asio::awaitable<void> write_key_table(std::shared_ptr<term_state> own,
                                                  service_id service, key_table table);
+    void record_crashes(const std::shared_ptr<term_state>& own);
+    boost::asio::awaitable<void> write_crash_record(std::shared_ptr<term_state> own,
+                                                    crash_record record);
     boost::asio::awaitable<void> wait_for_pending_grants();
     boost::asio::awaitable<void> give_up(std::shared_ptr<term_state> own, const char* reason);
     boost::asio::awaitable<void> record_resignation(std::shared_ptr<term_state> own);
--- a/include/figreach/direct/stored_records.h
+++ b/include/figreach/direct/stored_records.h
@@ -4,7 +4,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "figreach/direct/crash_report.h"
 #include "figreach/direct/key_table.h"
 #include "figreach/ids.h"
 #include "figreach/time.h"
@@ -36,20 +38,32 @@
     friend bool operator==(const live_host&, const live_host&) = default;
 };
 
+/// What hosts know of requests that crash backend servers, for hosts that start after all have
+/// ended.
+struct crash_record {
+    std::uint64_t term = 0;            ///< of the leader that wrote it
+    std::vector<crash_report> reports; ///< at most max_recorded_requests
+
+    friend bool operator==(const crash_record&, const crash_record&) = default;
+};
+
 // Store keys of the items that entry hosts write.
 inline constexpr auto own_prefix = "figreach/";
 inline constexpr auto leader_key = "figreach/leader";
 inline constexpr auto term_key = "figreach/term";
 inline constexpr auto hosts_prefix = "figreach/hosts/";
 inline constexpr auto key_tables_prefix = "figreach/keys/";
+inline constexpr auto crash_record_key = "figreach/crashes";
 
 [[nodiscard]] std::string encode(const key_table& table);
 [[nodiscard]] std::string encode(const leader_term& term);
 [[nodiscard]] std::string encode(const live_host& host);
+[[nodiscard]] std::string encode(const crash_record& record);
 
 // These return an empty optional if the bytes are malformed or violate an invariant of the type.
 [[nodiscard]] std::optional<key_table> decode_key_table(std::string_view bytes);
 [[nodiscard]] std::optional<leader_term> decode_leader_term(std::string_view bytes);
 [[nodiscard]] std::optional<live_host> decode_live_host(std::string_view bytes);
+[[nodiscard]] std::optional<crash_record> decode_crash_record(std::string_view bytes);
 
 } // namespace figreach::direct
--- a/src/direct/cluster_state.cpp
+++ b/src/direct/cluster_state.cpp
@@ -79,6 +79,12 @@
             return item_update{key_table_update{.table = std::move(table), .revision = revision}};
         });
     }
+    if (text == crash_record_key && !change.removed) {
+        return decoded_or_unreadable(key, decode_crash_record(value), [&](crash_record record) {
+            return item_update{
+                crash_record_update{.record = std::move(record), .revision = revision}};
+        });
+    }
     return ignored_item{};
 }
 
@@ -303,6 +309,14 @@
     }
 }
 
+void cluster_state::apply_update(const crash_record_update& update, std::vector<state_change>&,
+                                 monotonic_time)
+{
+    if (update.revision > this->stored_crashes.revision) {
+        this->stored_crashes = update;
+    }
+}
+
 void cluster_state::apply_update(const ignored_item&, std::vector<state_change>&, monotonic_time) {}
 
 /// Removes what a full listing does not contain.
@@ -387,6 +401,11 @@
     return found != this->tables.end() ? found->second.revision : store_revision{};
 }
 
+const crash_record_update& cluster_state::crashes() const
+{
+    return this->stored_crashes;
+}
+
 bool cluster_state::is_out(const failure_domain_id& domain) const
 {
     return this->domains_out.contains(domain);
--- a/src/direct/crash_suspects.cpp
+++ b/src/direct/crash_suspects.cpp
@@ -122,14 +122,15 @@
     }
 }
 
-/// Keeps the later of two losses of one server, and the newest of all.
+/// Keeps the later of two losses of one server, and the newest of all. The time of a stored loss is
+/// only an upper bound, so that others go before it.
 void crash_suspects::add(suspect& entry, const server_lifetime& server, loss added) const
 {
-    if (entry.cleared_at && added.at <= *entry.cleared_at) {
+    if (entry.cleared_at && (added.stored || added.at <= *entry.cleared_at)) {
         return;
     }
     const auto rank = [](const loss& one) {
-        return std::tie(one.at, one.sent_at, one.failure_domain, one.sender);
+        return std::tuple{!one.stored, one.at, one.sent_at, one.failure_domain, one.sender};
     };
     const auto [place, is_new] = entry.losses.try_emplace(server, added);
     if (!is_new && rank(added) > rank(place->second)) {
@@ -152,7 +153,7 @@
     entry.cleared_at = std::max(entry.cleared_at.value_or(at), at);
     entry.trial_at.reset();
     std::erase_if(entry.losses, [&](const auto& item) {
-        const bool cleared = item.second.at <= *entry.cleared_at;
+        const bool cleared = item.second.stored || item.second.at <= *entry.cleared_at;
         if (cleared) {
             entry.own.erase(item.first);
             entry.untold.erase(item.first);
@@ -387,7 +388,8 @@
                       .sender = one.sender,
                       .ran = age_of(one.sent_at, one.at),
                       .age = age_of(one.at, now),
-                      .alive_age = std::nullopt};
+                      .alive_age = std::nullopt,
+                      .stored = one.stored};
     const auto found = this->lives.find(server);
     if (found != this->lives.end() && found->second.alive_at) {
         out.alive_age = age_of(*found->second.alive_at, now);
@@ -411,12 +413,73 @@
                   {.at = at,
                    .sent_at = at - one.ran,
                    .failure_domain = one.failure_domain,
-                   .sender = one.sender});
+                   .sender = one.sender,
+                   .stored = one.stored});
     }
     this->recount(report.digest, entry, now);
     this->evict();
 }
 
+void crash_suspects::restore(const std::vector<crash_report>& reports, monotonic_time now)
+{
+    for (auto report : reports) {
+        for (auto& one : report.losses) {
+            one.stored = true;
+        }
+        this->merge(report, now);
+    }
+}
+
+void crash_suspects::keep_restored(const std::vector<crash_report>& reported, monotonic_time now)
+{
+    if (reported.size() >= this->settings.max_reports) {
+        return; // not all are reported
+    }
+    std::map<request_digest, std::set<server_lifetime>> present;
+    for (const auto& report : reported) {
+        for (const auto& one : report.losses) {
+            present[report.digest].insert(one.server);
+        }
+    }
+    for (auto& [digest, entry] : this->known) {
+        const auto& listed = present[digest];
+        const auto erased = std::erase_if(entry.losses, [&listed](const auto& item) {
+            return item.second.stored && !listed.contains(item.first);
+        });
+        if (erased > 0) {
+            this->recount(digest, entry, now);
+        }
+    }
+}
+
+std::vector<crash_report> crash_suspects::record(monotonic_time now) const
+{
+    std::vector<const suspects::value_type*> ordered;
+    for (const auto& one : this->known) {
+        if (one.second.counted >= this->settings.suspect_losses) {
+            ordered.push_back(&one);
+        }
+    }
+    const auto count = std::min(ordered.size(), max_recorded_requests);
+    std::partial_sort(ordered.begin(), ordered.begin() + static_cast<std::ptrdiff_t>(count),
+                      ordered.end(), [](const auto* left, const auto* right) {
+                          return std::tie(left->second.counted, left->second.last_at) >
+                                 std::tie(right->second.counted, right->second.last_at);
+                      });
+    std::vector<crash_report> out;
+    for (std::size_t i = 0; i < count; ++i) {
+        crash_report report{.digest = ordered[i]->first, .losses = {}, .cleared_age = std::nullopt};
+        for (const auto& [server, one] : ordered[i]->second.losses) {
+            if (!this->is_refuted(server, one)) {
+                report.losses.push_back(this->report_of(server, one, now));
+                report.losses.back().alive_age.reset();
+            }
+        }
+        out.push_back(std::move(report));
+    }
+    return out;
+}
+
 std::vector<crash_report> crash_suspects::reports(monotonic_time now) const
 {
     std::vector<crash_report> out;
@@ -468,7 +531,10 @@
         // The leader may have just started, and the hosts that saw the losses may have ended.
         if (entry.counted >= this->settings.held_losses) {
             for (const auto& [server, one] : entry.losses) {
-                entry.untold.insert(server);
+                // The leader has read the store itself.
+                if (!one.stored) {
+                    entry.untold.insert(server);
+                }
             }
         }
         entry.clearance_untold = entry.cleared_here;
--- a/src/direct/follow.cpp
+++ b/src/direct/follow.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "../parse_message.h"
+#include "crash_report_codec.h"
 #include "figreach/direct/stored_records.h"
 #include "figreach/toml_reader.h"
 #include "peer.pb.h"
@@ -114,55 +115,6 @@
     return out;
 }
 
-void fill(wire::CrashReport& out, const crash_report& report)
-{
-    out.set_digest_high(report.digest.high);
-    out.set_digest_low(report.digest.low);
-    for (const auto& one : report.losses) {
-        auto* item = out.add_losses();
-        item->set_server(one.server.server.value);
-        item->set_lifetime(one.server.lifetime);
-        item->set_failure_domain(one.failure_domain.value);
-        item->set_sender(one.sender.value);
-        item->set_ran_ms(static_cast<std::uint32_t>(one.ran.count()));
-        item->set_age_ms(static_cast<std::uint32_t>(one.age.count()));
-        if (one.alive_age) {
-            item->set_alive_age_ms(static_cast<std::uint32_t>(one.alive_age->count()));
-        }
-    }
-    if (report.cleared_age) {
-        out.set_cleared_age_ms(static_cast<std::uint32_t>(report.cleared_age->count()));
-    }
-}
-
-std::vector<crash_report>
-to_crashes(const google::protobuf::RepeatedPtrField<wire::CrashReport>& in)
-{
-    std::vector<crash_report> out;
-    out.reserve(static_cast<std::size_t>(in.size()));
-    for (const auto& one : in) {
-        crash_report report{.digest = {.high = one.digest_high(), .low = one.digest_low()},
-                            .losses = {},
-                            .cleared_age = std::nullopt};
-        for (const auto& loss : one.losses()) {
-            report.losses.push_back(
-                {.server = {.server = {loss.server()}, .lifetime = loss.lifetime()},
-                 .failure_domain = {loss.failure_domain()},
-                 .sender = {loss.sender()},
-                 .ran = milliseconds{loss.ran_ms()},
-                 .age = milliseconds{loss.age_ms()},
-                 .alive_age = loss.has_alive_age_ms()
-                                  ? std::optional{milliseconds{loss.alive_age_ms()}}
-                                  : std::nullopt});
-        }
-        if (one.has_cleared_age_ms()) {
-            report.cleared_age = milliseconds{one.cleared_age_ms()};
-        }
-        out.push_back(std::move(report));
-    }
-    return out;
-}
-
 store_change to_change(const wire::ItemChange& in, store_era era)
 {
     return {.item = {.key = in.key(), .value = in.value(), .revision = {era, in.revision()}},
@@ -221,6 +173,7 @@
         out.set_configuration_age_ms(answer.configuration_age->count());
     }
     out.set_load_cursor(answer.load_cursor);
+    out.set_has_crash_record(answer.has_crash_record);
     for (const auto& part : answer.parts) {
         auto* item = out.add_parts();
         item->set_part(static_cast<std::uint32_t>(part.part));
@@ -324,7 +277,7 @@
                        .server_loads = to_loads(in->server_loads()),
                        .rate_limits = to_rate_limits(in->rate_limits()),
                        .leaving = to_leaving(in->leaving()),
-                       .crashes = to_crashes(in->crashes()),
+                       .crashes = to_crash_reports(in->crashes()),
                        .era = store_era{in->era()},
                        .wants_listing = in->wants_listing(),
                        .load_cursor = in->load_cursor()};
@@ -360,10 +313,11 @@
                       .server_loads = to_loads(in->server_loads()),
                       .rate_limits = to_rate_limits(in->rate_limits()),
                       .leaving = to_leaving(in->leaving()),
-                      .crashes = to_crashes(in->crashes()),
+                      .crashes = to_crash_reports(in->crashes()),
                       .era = store_era{in->era()},
                       .load_cursor = in->load_cursor(),
-                      .return_left = milliseconds{in->return_left_ms()}};
+                      .return_left = milliseconds{in->return_left_ms()},
+                      .has_crash_record = in->has_crash_record()};
     if (in->has_configuration_age_ms()) {
         out.configuration_age = milliseconds{in->configuration_age_ms()};
     }
--- a/src/direct/runtime/host_context.cpp
+++ b/src/direct/runtime/host_context.cpp
@@ -75,6 +75,7 @@
       path{server_path_settings{}, monotonic_time::clock::now()},
       rate_limits{rate_limit_settings{}},
       suspects{crash_suspects_settings{}},
+      crash_record_writes{crash_record_settings{}},
       server_connections{io_, max_idle_per_server},
       cold_checked{io_},
       peer_connections{io_, max_idle_per_peer},
@@ -114,6 +115,9 @@
         this->reload_at = now + this->spread_delay();
         this->cluster_changed.notify();
     }
+    else {
+        this->first_seen_era = era;
+    }
     this->era_seen_at = time_with_suspension();
 }
 
@@ -266,6 +270,45 @@
     this->log_crash_changes();
 }
 
+void host_context::apply_leader_crash_reports(const std::vector<crash_report>& reports,
+                                              bool has_crash_record)
+{
+    this->merge_crash_reports(reports);
+    if (has_crash_record) {
+        this->has_leader_crashes = true;
+        this->suspects.keep_restored(reports, monotonic_time::clock::now());
+        this->log_crash_changes();
+    }
+}
+
+void host_context::apply_crash_record()
+{
+    const auto& [record, revision] = this->cluster.crashes();
+    if (revision == this->crash_record_seen) {
+        return;
+    }
+    this->crash_record_seen = revision;
+    const bool is_of_earlier_term = !this->leads || record.term < this->led_term;
+    if (is_of_earlier_term) {
+        this->crash_record_writes.on_stored(record.reports);
+    }
+    // A store that was restored from a copy holds less than this process knows.
+    if (!is_of_earlier_term || this->has_leader_crashes || revision.era() != this->first_seen_era) {
+        return;
+    }
+    auto wanted = record.reports;
+    std::erase_if(wanted, [this](const crash_report& one) {
+        const auto& released = this->settings.released_requests;
+        return std::find(released.begin(), released.end(), one.digest) != released.end();
+    });
+    this->suspects.restore(wanted, monotonic_time::clock::now());
+    log_event(log_level::info, "crash_record_read",
+              {{"term", std::to_string(record.term)},
+               {"revision", std::to_string(revision.number().value)},
+               {"requests", std::to_string(wanted.size())}});
+    this->log_crash_changes();
+}
+
 void host_context::refresh_crash_suspects(monotonic_time now)
 {
     const auto find = [this](const backend_server_id& id) -> std::optional<discovered_server> {
--- a/src/direct/runtime/leadership.cpp
+++ b/src/direct/runtime/leadership.cpp
@@ -132,6 +132,8 @@
 {
     this->current_term = own;
     this->state.leads = true;
+    this->state.led_term = own->term;
+    this->state.crash_record_writes.start_term();
     asio::co_spawn(this->state.io, this->keep_lease(own), asio::detached);
     co_await this->manage_keys(own);
     if (this->current_term == own && !this->resigning && this->state.is_cut_off()) {
@@ -392,6 +394,8 @@
         }
         own->term = claim->term;
         this->claims.led_term = claim->term;
+        this->state.led_term = claim->term;
+        this->state.crash_record_writes.start_term();
         own->lease = *lease;
         own->term_revision = *revision;
         own->extend_lease(sent_at);
@@ -452,6 +456,7 @@
         this->earlier_orders_end = own->former_orders_end;
         this->current_term.reset();
         this->state.leads = false;
+        this->state.led_term = 0;
         this->state.unseen_tables.clear();
         this->state.cluster_changed.notify();
     }
--- a/src/direct/runtime/leadership_keys.cpp
+++ b/src/direct/runtime/leadership_keys.cpp
@@ -139,6 +139,7 @@
         return;
     }
     this->update_former_orders_end(*own, now);
+    this->record_crashes(own);
     for (auto& item : own->services) {
         const auto& service = item.first;
         auto& managed = item.second;
--- a/src/direct/runtime/peer_server.cpp
+++ b/src/direct/runtime/peer_server.cpp
@@ -193,6 +193,7 @@
         update->rate_limits = this->state.rate_limits.reports(now);
         update->era = this->state.store.era();
         update->crashes = this->state.suspects.reports(now);
+        update->has_crash_record = true;
         update->leaving = this->state.cluster.servers().leaving_reports(now);
         out.body() = encode(*update);
     }
--- a/src/direct/runtime/store_feed.cpp
+++ b/src/direct/runtime/store_feed.cpp
@@ -481,6 +481,7 @@
     for (const auto& line : lines) {
         log_info_event(line.event, line.fields);
     }
+    this->state.apply_crash_record();
     this->state.cluster_changed.notify();
 }
 
@@ -682,7 +683,7 @@
         this->state.load_tracker.merge(load, monotonic_time::clock::now());
     }
     this->state.merge_rate_limits(answer->rate_limits, leader.host);
-    this->state.merge_crash_reports(answer->crashes);
+    this->state.apply_leader_crash_reports(answer->crashes, answer->has_crash_record);
     const auto leaving = std::exchange(answer->leaving, {});
     this->load_cursor = answer->load_cursor;
     this->apply_answer(std::move(*answer), asked_at);
--- a/src/direct/stored_records.cpp
+++ b/src/direct/stored_records.cpp
@@ -1,11 +1,14 @@
 #include "figreach/direct/stored_records.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 #include <vector>
 
 #include "../parse_message.h"
+#include "crash_report_codec.h"
 #include "document.pb.h"
+#include "figreach/direct/crash_suspects.h"
 
 namespace figreach::direct {
 
@@ -119,6 +122,16 @@
     return out.SerializeAsString();
 }
 
+std::string encode(const crash_record& record)
+{
+    wire::CrashRecord out;
+    out.set_term(record.term);
+    for (const auto& one : record.reports) {
+        fill(*out.add_reports(), one);
+    }
+    return out.SerializeAsString();
+}
+
 std::optional<key_table> decode_key_table(std::string_view bytes)
 {
     const auto in = parse_message<wire::KeyTable>(bytes);
@@ -174,4 +187,19 @@
                      .secret = in->secret()};
 }
 
+std::optional<crash_record> decode_crash_record(std::string_view bytes)
+{
+    const auto in = parse_message<wire::CrashRecord>(bytes);
+    if (!in || in->reports_size() > static_cast<int>(max_recorded_requests)) {
+        return std::nullopt;
+    }
+    crash_record out{.term = in->term(), .reports = to_crash_reports(in->reports())};
+    constexpr auto max_losses = crash_suspects_settings{}.max_losses;
+    const bool is_valid =
+        std::all_of(out.reports.begin(), out.reports.end(), [](const crash_report& one) {
+            return !one.losses.empty() && one.losses.size() <= max_losses;
+        });
+    return is_valid ? std::optional{std::move(out)} : std::nullopt;
+}
+
 } // namespace figreach::direct
--- a/test/direct/crash_suspects_test.cpp
+++ b/test/direct/crash_suspects_test.cpp
@@ -531,3 +531,126 @@
         CHECK_TRUE_TEXT(failed, row.name);
     }
 }
+
+/// A process that has just started and has read what `written` stored at `at`, `later` ms later.
+crash_suspects restart(const crash_suspects& written, int at, int later)
+{
+    crash_suspects out{crash_suspects_settings{}};
+    out.restore(written.record(time_of(at)), time_of(at + later));
+    return out;
+}
+
+struct restart_row {
+    const char* name;
+    std::vector<event> before; ///< until the record is written, at second 2
+    std::vector<event> after;  ///< from the start of the next process on, at second 5
+    int at;
+    std::size_t count;
+    crash_level level;
+};
+
+const restart_row restart_rows[] = {
+    {"one server", {first}, {}, 5000, 0, none},
+    {"two servers", {first, second}, {}, 5000, 2, suspected},
+    {"two servers and a third", {first, second}, {lost{6000, "c", 5900}}, 6000, 3, held},
+    {"three servers", {first, second, third}, {}, 5000, 3, held},
+    // The last loss was 1 s before the record was written.
+    {"shortly before the end of the hold", {first, second, third}, {}, 63'999, 3, held},
+    {"after the hold", {first, second, third}, {}, 64'000, 3, trial},
+    {"answered before", {first, second, third, answered{1500}}, {}, 5000, 0, none},
+    {"answered after", {first, second, third}, {answered{5100}}, 5100, 0, none},
+    {"a server refuted before", {first, second, third, alive{1600, "c"}}, {}, 5000, 2, suspected},
+    {"a server answers after", {first, second, third}, {alive{5400, "c"}}, 5400, 2, suspected},
+    {"a domain that lost power",
+     {first, lost{.at = 100, .server = "b", .sent_at = -50, .sender = "h2"}},
+     {},
+     5000,
+     0,
+     none},
+    {"forgotten", {first, second, third}, {}, 664'000, 0, none},
+};
+
+/// Guards against forgetting requests that crash servers when all hosts end at the same moment.
+TEST(crash_suspects_test, a_process_that_starts_knows_what_the_store_holds)
+{
+    for (const auto& row : restart_rows) {
+        auto suspects = restart(play(row.before), 2000, 3000);
+        for (const auto& one : row.after) {
+            std::visit(play_event{suspects}, one);
+        }
+        refresh(suspects, time_of(row.at));
+        CHECK_EQUAL_TEXT(row.count, suspects.count(digest), row.name);
+        ENUMS_EQUAL_INT_TEXT(row.level, suspects.level(digest, time_of(row.at)), row.name);
+    }
+}
+
+/// Guards against a hold without end because each restart reads the same ages.
+TEST(crash_suspects_test, a_hold_ends_though_hosts_are_restarted)
+{
+    auto suspects = play({first, second, third});
+    int at = 1000;
+    int restarts = 0;
+    for (; suspects.level(digest, time_of(at)) == held && restarts < 100; ++restarts) {
+        // Each process writes 2 s after its start and ends 3 s later.
+        suspects = restart(suspects, at + 2000, 3000);
+        at += 5000;
+    }
+    CHECK_EQUAL(30, restarts);
+}
+
+/// Guards against taking an old record for news.
+TEST(crash_suspects_test, a_record_undoes_nothing_that_is_known)
+{
+    const auto record = play({first, second, third}).record(time_of(1000));
+    auto cleared = play({first, second, third, answered{1100}});
+    cleared.restore(record, time_of(5000));
+    CHECK_EQUAL(0, cleared.count(digest));
+
+    auto known = play({first, second, third});
+    known.restore(record, time_of(30'000));
+    ENUMS_EQUAL_INT(trial, known.level(digest, time_of(61'000)));
+}
+
+/// Guards against a request that is held again because a host that has just started tells what the
+/// store held.
+TEST(crash_suspects_test, what_the_store_held_yields_to_the_leader)
+{
+    const auto now = time_of(5000);
+    auto started = restart(play({first, second, third}), 2000, 3000);
+    started.tell_again();
+    CHECK_TRUE(started.take_own_reports(now).empty());
+
+    auto leader = restart(play({first, second, third}), 2000, 3000);
+    started.keep_restored(leader.reports(now), now);
+    CHECK_EQUAL(3, started.count(digest));
+
+    auto clears = play({first, second, third, answered{1100}});
+    for (const auto& one : clears.take_own_reports(now)) {
+        leader.merge(one, now);
+    }
+    CHECK_EQUAL(0, leader.count(digest));
+    started.keep_restored(leader.reports(now), now);
+    CHECK_EQUAL(0, started.count(digest));
+}
+
+/// Guards against a record that grows with the requests that were lost with a failure domain.
+TEST(crash_suspects_test, the_record_is_bounded_and_keeps_the_most_lost)
+{
+    crash_suspects suspects{crash_suspects_settings{}};
+    for (std::uint64_t i = 0; i < 300; ++i) {
+        const request_digest one{.high = 9, .low = i};
+        const auto losses = i == 250 ? 3U : 2U;
+        for (unsigned server = 0; server < losses; ++server) {
+            const int at = static_cast<int>(1000 * server);
+            suspects.on_lost({.digest = one,
+                              .server = {.server = {std::to_string(i)}, .lifetime = server + 1},
+                              .failure_domain = {"d"},
+                              .sender = {"h1"},
+                              .sent_at = time_of(at - 1)},
+                             time_of(at));
+        }
+    }
+    const auto record = suspects.record(time_of(3000));
+    CHECK_EQUAL(max_recorded_requests, record.size());
+    CHECK_EQUAL(250, record.front().digest.low);
+}
--- a/test/direct/crashing_request_test.cpp
+++ b/test/direct/crashing_request_test.cpp
@@ -360,3 +360,30 @@
                         text.c_str());
     }
 }
+
+/// Guards against forgetting a request that crashes servers when all hosts end. Each further
+/// generation of hosts would let it crash three servers more.
+TEST(crashing_request_test, a_request_stays_held_after_all_hosts_have_ended)
+{
+    constexpr int generations = 3;
+    constexpr std::uint64_t sends = 12;
+    constexpr milliseconds pause{400};
+    const auto& row = crash_rows[1];
+    standin_platform platform;
+    std::uint64_t number = 0;
+    std::vector<std::uint32_t> crashes;
+    for (int i = 0; i < generations; ++i) {
+        const running_hosts hosts{platform.store_address()};
+        wait_until_served(hosts);
+        for (std::uint64_t j = 0; j < sends; ++j) {
+            const auto id = "held-" + std::to_string(++number);
+            platform.record_sent(id, row.name);
+            exchange(hosts.addresses.at(j % host_count), "127.0.0.1",
+                     make_text(row.crashing, id, 0, row.body));
+            std::this_thread::sleep_for(pause);
+        }
+        crashes.push_back(platform.counts_of(row.name).crashes);
+    }
+    CHECK_TRUE(crashes.front() >= tolerated_crashes);
+    CHECK_EQUAL(crashes.front(), crashes.back());
+}
--- a/test/direct/recorded_bytes_test.cpp
+++ b/test/direct/recorded_bytes_test.cpp
@@ -90,6 +90,16 @@
             .load_cursor = 0};
 }
 
+crash_record sample_crashes()
+{
+    const reported_loss loss{.server = {.server = {"b1"}, .lifetime = 5},
+                             .failure_domain = {"d1"},
+                             .sender = {"h1"},
+                             .ran = milliseconds{30},
+                             .age = milliseconds{900}};
+    return {.term = 7, .reports = {{.digest = {.high = 1, .low = 2}, .losses = {loss}}}};
+}
+
 leader_hint sample_hint()
 {
     return {.term = 7, .host = {"h1"}, .peer_address = "10.0.0.1:7660"};
@@ -129,6 +139,9 @@
          [](const std::string& bytes) {
              return decode_key_table_delta(bytes, era) == sample_delta();
          }},
+        {"record of crashing requests", encode(sample_crashes()),
+         "080712270901000000000000001102000000000000001a130a02623110051a02643122026831281e308407",
+         [](const std::string& bytes) { return decode_crash_record(bytes) == sample_crashes(); }},
         {"poll of a follower", encode(sample_request()),
          "0a026832120608011020180312060802101f18031a070a01731007180322090a02623110021884072a0f0a026"
          "2311001180220042896013014320f0a026231110000000000001a40181e40034801",
--- a/test/direct/stored_records_test.cpp
+++ b/test/direct/stored_records_test.cpp
@@ -1,6 +1,7 @@
 #include "figreach/direct/stored_records.h"
 
 #include "../property.h"
+#include "figreach/direct/crash_suspects.h"
 
 using namespace figreach;
 using namespace figreach::direct;
@@ -20,6 +21,20 @@
                        {.keys = {.first = 100, .last = key_count - 1}}}};
 }
 
+crash_record sample_crashes(std::size_t requests)
+{
+    crash_record out{.term = 7, .reports = {}};
+    for (std::uint64_t i = 0; i < requests; ++i) {
+        out.reports.push_back({.digest = {.high = i, .low = 5},
+                               .losses = {{.server = {.server = {"s1"}, .lifetime = 3},
+                                           .failure_domain = {"d"},
+                                           .sender = {"h1"},
+                                           .ran = milliseconds{30},
+                                           .age = milliseconds{900}}}});
+    }
+    return out;
+}
+
 struct damage_row {
     const char* name;
     void (*damage)(key_table& table);
@@ -52,6 +67,34 @@
     const live_host host{
         .name = {"h"}, .lifetime = 8, .peer_address = "127.0.0.1:1", .failure_domain = {"north"}};
     CHECK_TRUE(decode_live_host(encode(host)) == host);
+    CHECK_TRUE(decode_crash_record(encode(sample_crashes(3))) == sample_crashes(3));
+    CHECK_TRUE(decode_crash_record("") == crash_record{});
+}
+
+struct crash_record_row {
+    const char* name;
+    std::string bytes;
+};
+
+TEST(stored_records_test, a_damaged_crash_record_is_none)
+{
+    auto without_losses = sample_crashes(1);
+    without_losses.reports.front().losses.clear();
+    auto many_losses = sample_crashes(1);
+    for (std::uint64_t i = 0; i < 20; ++i) {
+        many_losses.reports.front().losses.push_back(
+            {.server = {.server = {"s"}, .lifetime = 100 + i}});
+    }
+    const crash_record_row rows[] = {
+        {"other bytes", "\xff\xff\xff"},
+        {"cut off", encode(sample_crashes(2)).substr(0, 20)},
+        {"more requests than a leader writes", encode(sample_crashes(max_recorded_requests + 1))},
+        {"a request without losses", encode(without_losses)},
+        {"more losses than a host keeps", encode(many_losses)},
+    };
+    for (const auto& row : rows) {
+        CHECK_FALSE_TEXT(decode_crash_record(row.bytes).has_value(), row.name);
+    }
 }
 
 TEST(stored_records_test, refuses_damaged_tables)
