--- a/include/figreach/direct/crash_record_schedule.h
+++ b/include/figreach/direct/crash_record_schedule.h
@@ -29,7 +29,7 @@
     /// Whether `wanted` has to be written now. If so, its write counts as begun.
     [[nodiscard]] bool try_begin(const std::vector<crash_report>& wanted, monotonic_time now);
     void on_written(const std::vector<crash_report>& reports);
-    /// The write has failed, or may have.
+    /// The write failed, or its outcome is unknown.
     void on_not_written();
 
 private:
--- a/src/direct/runtime/host_context.cpp
+++ b/src/direct/runtime/host_context.cpp
@@ -288,12 +288,13 @@
         return;
     }
     this->crash_record_seen = revision;
-    const bool is_of_earlier_term = !this->leads || record.term < this->led_term;
-    if (is_of_earlier_term) {
-        this->crash_record_writes.on_stored(record.reports);
+    const bool is_own = this->leads && record.term >= this->led_term;
+    if (is_own) {
+        return;
     }
+    this->crash_record_writes.on_stored(record.reports);
     // A store that was restored from a copy holds less than this process knows.
-    if (!is_of_earlier_term || this->has_leader_crashes || revision.era() != this->first_seen_era) {
+    if (this->has_leader_crashes || revision.era() != this->first_seen_era) {
         return;
     }
     auto wanted = record.reports;
