Ask how many bytes are available only after the deadline

timed_read asked the system before each read how many bytes were available, which matters only once the deadline has passed, and nested three coroutines where one does.

--- a/include/figreach/runtime/read_deadline.h
+++ b/include/figreach/runtime/read_deadline.h
@@ -12,22 +12,21 @@
 public:
     explicit read_deadline(monotonic_time at_) : at{at_} {}
 
-    /// Whether one more read is allowed at `now`, with this number of bytes available. Once the
-    /// deadline has passed, one read of available bytes is: a host that was short of processor
-    /// time still gets an answer that came in time.
-    [[nodiscard]] bool allows_read(monotonic_time now, std::size_t available)
+    [[nodiscard]] bool has_passed(monotonic_time now) const { return now >= this->at; }
+
+    /// Whether one more read is allowed although the deadline has passed. It is once, for bytes
+    /// that are available: a host that was short of processor time still gets an answer that came
+    /// in time.
+    [[nodiscard]] bool try_last_read(std::size_t available)
     {
-        if (now < this->at) {
-            return true;
-        }
-        const bool allowed = available > 0 && !this->passed;
-        this->passed = true;
+        const bool allowed = available > 0 && !this->is_used;
+        this->is_used = true;
         return allowed;
     }
 
 private:
     monotonic_time at;
-    bool passed = false;
+    bool is_used = false; ///< the last read
 };
 
 } // namespace figreach
--- a/src/runtime/timed_read.cpp
+++ b/src/runtime/timed_read.cpp
@@ -1,7 +1,5 @@
 #include "figreach/runtime/timed_read.h"
 
-#include <algorithm>
-
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -19,6 +17,7 @@
 namespace {
 
 constexpr std::size_t max_read_bytes = 64 * 1024;
+constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 
 template <bool is_request>
 read_result parse(beast::flat_buffer& buffer, http::basic_parser<is_request>& parser)
@@ -29,17 +28,14 @@
     return {failed, count};
 }
 
-/// Appends available bytes to the buffer.
-asio::awaitable<beast::error_code> fill(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-                                        read_deadline& deadline)
+/// Whether the stream may be read now.
+bool may_read(beast::tcp_stream& stream, read_deadline& deadline)
 {
-    const auto size = beast::read_size(buffer, max_read_bytes);
-    if (size == 0) {
-        co_return http::error::buffer_overflow;
+    if (!deadline.has_passed(monotonic_time::clock::now())) {
+        return true;
     }
-    const auto [failed, count] = co_await read_some(stream, buffer.prepare(size), deadline);
-    buffer.commit(count);
-    co_return failed;
+    beast::error_code ignored;
+    return deadline.try_last_read(stream.socket().available(ignored));
 }
 
 /// Parses what is buffered; reads once and parses again if that is not enough.
@@ -55,19 +51,28 @@
     if (out.first != http::error::need_more) {
         co_return out;
     }
-    const auto failed = co_await fill(stream, buffer, deadline);
+    const auto size = beast::read_size(buffer, max_read_bytes);
+    if (size == 0) {
+        co_return read_result{http::error::buffer_overflow, out.second};
+    }
+    if (!may_read(stream, deadline)) {
+        co_return read_result{beast::error::timeout, out.second};
+    }
+    const auto [failed, received] = co_await stream.async_read_some(buffer.prepare(size), no_throw);
+    buffer.commit(received);
     if (failed == asio::error::eof && parser.got_some()) {
         parser.put_eof(out.first);
         co_return out;
     }
+    if (failed == asio::error::eof) {
+        co_return read_result{http::error::end_of_stream, out.second};
+    }
     if (failed) {
-        const bool ended = failed == asio::error::eof;
-        out.first = ended ? make_error_code(http::error::end_of_stream) : failed;
-        co_return out;
+        co_return read_result{failed, out.second};
     }
-    const auto [parse_failed, count] = parse(buffer, parser);
+    const auto [parse_failed, parsed] = parse(buffer, parser);
     out.first = parse_failed == http::error::need_more ? beast::error_code{} : parse_failed;
-    out.second += count;
+    out.second += parsed;
     co_return out;
 }
 
@@ -76,14 +81,11 @@
 asio::awaitable<read_result> read_some(beast::tcp_stream& stream, asio::mutable_buffer into,
                                        read_deadline& deadline)
 {
-    beast::error_code failed;
-    const auto available = stream.socket().available(failed);
-    if (!deadline.allows_read(monotonic_time::clock::now(), available)) {
+    if (!may_read(stream, deadline)) {
         co_return read_result{beast::error::timeout, 0};
     }
-    const auto [read_failed, count] =
-        co_await stream.async_read_some(into, asio::as_tuple(asio::use_awaitable));
-    co_return read_result{read_failed, count};
+    const auto [failed, count] = co_await stream.async_read_some(into, no_throw);
+    co_return read_result{failed, count};
 }
 
 template <bool is_request>
@@ -107,7 +109,7 @@
 {
     // Otherwise only one chunk is parsed at a time.
     parser.eager(true);
-    co_return co_await read_once(stream, buffer, parser, deadline);
+    return read_once(stream, buffer, parser, deadline);
 }
 
 template <bool is_request>
--- a/test/runtime/read_deadline_test.cpp
+++ b/test/runtime/read_deadline_test.cpp
@@ -31,7 +31,9 @@
     const auto at = monotonic_time::clock::now();
     read_deadline deadline{at};
     for (const auto& row : read_rows) {
-        CHECK_EQUAL_TEXT(row.allowed, deadline.allows_read(at + row.at, row.available), row.name);
+        const bool allowed =
+            !deadline.has_passed(at + row.at) || deadline.try_last_read(row.available);
+        CHECK_EQUAL_TEXT(row.allowed, allowed, row.name);
     }
 }
 
@@ -40,6 +42,7 @@
 {
     const auto at = monotonic_time::clock::now();
     read_deadline deadline{at};
-    CHECK_TRUE(deadline.allows_read(at + milliseconds{100}, 10));
-    CHECK_FALSE(deadline.allows_read(at + milliseconds{100}, 10));
+    CHECK_TRUE(deadline.has_passed(at));
+    CHECK_TRUE(deadline.try_last_read(10));
+    CHECK_FALSE(deadline.try_last_read(10));
 }
