Read all bytes that had arrived by the deadline

Messages of over 64 KiB that reached a host short of processor time were dropped once their deadline had passed, although all of them had arrived: timed_read allowed one read beyond the deadline.

Change: beyond the deadline, the bytes that are available then are read, and no more. The bound is the receive buffer of the socket.

--- a/include/figreach/runtime/read_deadline.h
+++ b/include/figreach/runtime/read_deadline.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
+#include <optional>
 
 #include "figreach/time.h"
 
@@ -14,19 +16,20 @@
 
     [[nodiscard]] bool has_passed(monotonic_time now) const { return now >= this->at; }
 
-    /// Whether one more read is allowed although the deadline has passed. It is once, for bytes
-    /// that are available: a host that was short of processor time still gets an answer that came
-    /// in time.
-    [[nodiscard]] bool try_last_read(std::size_t available)
+    /// How many of `wanted` bytes may be read although the deadline has passed. These are the bytes
+    /// that were available when this was first called: a host that was short of processor time
+    /// still gets a message that came in time.
+    [[nodiscard]] std::size_t take_arrived(std::size_t wanted, std::size_t available)
     {
-        const bool allowed = available > 0 && !this->is_used;
-        this->is_used = true;
-        return allowed;
+        const auto left = this->arrived.value_or(available);
+        const auto out = std::min({wanted, left, available});
+        this->arrived = left - out;
+        return out;
     }
 
 private:
     monotonic_time at;
-    bool is_used = false; ///< the last read
+    std::optional<std::size_t> arrived; ///< bytes that may still be read once it has passed
 };
 
 } // namespace figreach
--- a/src/runtime/timed_read.cpp
+++ b/src/runtime/timed_read.cpp
@@ -28,14 +28,14 @@
     return {failed, count};
 }
 
-/// Whether the stream may be read now.
-bool may_read(beast::tcp_stream& stream, read_deadline& deadline)
+/// How many of `wanted` bytes may be read now.
+std::size_t allowed_bytes(beast::tcp_stream& stream, read_deadline& deadline, std::size_t wanted)
 {
     if (!deadline.has_passed(monotonic_time::clock::now())) {
-        return true;
+        return wanted;
     }
     beast::error_code ignored;
-    return deadline.try_last_read(stream.socket().available(ignored));
+    return deadline.take_arrived(wanted, stream.socket().available(ignored));
 }
 
 /// Parses what is buffered; reads once and parses again if that is not enough.
@@ -55,10 +55,12 @@
     if (size == 0) {
         co_return read_result{http::error::buffer_overflow, out.second};
     }
-    if (!may_read(stream, deadline)) {
+    const auto allowed = allowed_bytes(stream, deadline, size);
+    if (allowed == 0) {
         co_return read_result{beast::error::timeout, out.second};
     }
-    const auto [failed, received] = co_await stream.async_read_some(buffer.prepare(size), no_throw);
+    const auto [failed, received] =
+        co_await stream.async_read_some(buffer.prepare(allowed), no_throw);
     buffer.commit(received);
     if (failed == asio::error::eof && parser.got_some()) {
         parser.put_eof(out.first);
@@ -81,10 +83,12 @@
 asio::awaitable<read_result> read_some(beast::tcp_stream& stream, asio::mutable_buffer into,
                                        read_deadline& deadline)
 {
-    if (!may_read(stream, deadline)) {
+    const auto allowed = allowed_bytes(stream, deadline, into.size());
+    if (allowed == 0) {
         co_return read_result{beast::error::timeout, 0};
     }
-    const auto [failed, count] = co_await stream.async_read_some(into, no_throw);
+    const auto [failed, count] =
+        co_await stream.async_read_some(asio::buffer(into, allowed), no_throw);
     co_return read_result{failed, count};
 }
 
--- a/test/runtime/read_deadline_test.cpp
+++ b/test/runtime/read_deadline_test.cpp
@@ -32,17 +32,18 @@
     read_deadline deadline{at};
     for (const auto& row : read_rows) {
         const bool allowed =
-            !deadline.has_passed(at + row.at) || deadline.try_last_read(row.available);
+            !deadline.has_passed(at + row.at) || deadline.take_arrived(100, row.available) > 0;
         CHECK_EQUAL_TEXT(row.allowed, allowed, row.name);
     }
 }
 
-/// Guards against dropping an answer that has arrived while the host got no processor time.
-TEST(read_deadline_test, what_has_arrived_by_then_is_read_once)
+/// Guards against dropping a message that has arrived while the host got no processor time, and
+/// against reading on while more arrives.
+TEST(read_deadline_test, what_has_arrived_by_then_is_read)
 {
-    const auto at = monotonic_time::clock::now();
-    read_deadline deadline{at};
-    CHECK_TRUE(deadline.has_passed(at));
-    CHECK_TRUE(deadline.try_last_read(10));
-    CHECK_FALSE(deadline.try_last_read(10));
+    read_deadline deadline{monotonic_time::clock::now()};
+    CHECK_EQUAL(100, deadline.take_arrived(100, 250));
+    CHECK_EQUAL(100, deadline.take_arrived(100, 900));
+    CHECK_EQUAL(50, deadline.take_arrived(100, 900));
+    CHECK_EQUAL(0, deadline.take_arrived(100, 900));
 }
