Look up only what was read from the store

keep_restored() built an index of all requests that the leader reports at each poll of each host, usually to find nothing: only losses from the store are looked up now. No change of behaviour.

--- a/src/direct/crash_suspects.cpp
+++ b/src/direct/crash_suspects.cpp
@@ -13,6 +13,16 @@
     return std::max(std::chrono::floor<milliseconds>(now - at), milliseconds{0});
 }
 
+bool contains(const std::vector<crash_report>& reports, const request_digest& digest,
+              const server_lifetime& server)
+{
+    return std::any_of(reports.begin(), reports.end(), [&](const crash_report& report) {
+        return report.digest == digest &&
+               std::any_of(report.losses.begin(), report.losses.end(),
+                           [&](const reported_loss& one) { return one.server == server; });
+    });
+}
+
 /// Changes that nobody takes are dropped.
 constexpr std::size_t max_changes = 1024;
 
@@ -435,16 +445,11 @@
     if (reported.size() >= this->settings.max_reports) {
         return; // not all are reported
     }
-    std::map<request_digest, std::set<server_lifetime>> present;
-    for (const auto& report : reported) {
-        for (const auto& one : report.losses) {
-            present[report.digest].insert(one.server);
-        }
-    }
-    for (auto& [digest, entry] : this->known) {
-        const auto& listed = present[digest];
-        const auto erased = std::erase_if(entry.losses, [&listed](const auto& item) {
-            return item.second.stored && !listed.contains(item.first);
+    for (auto& item : this->known) {
+        const auto& digest = item.first;
+        auto& entry = item.second;
+        const auto erased = std::erase_if(entry.losses, [&](const auto& loss_item) {
+            return loss_item.second.stored && !contains(reported, digest, loss_item.first);
         });
         if (erased > 0) {
             this->recount(digest, entry, now);
