One lingering close for both products

caller_session and caller_connection had the same loop, which the deadline of reads changed in both. The bound of 1 MiB of caller_session stays, and caller_connection still has none. No change of behaviour.

--- a/include/figreach/direct/runtime/caller_connection.h
+++ b/include/figreach/direct/runtime/caller_connection.h
@@ -50,7 +50,6 @@
     boost::asio::awaitable<void> write_answers();
     boost::asio::awaitable<bool> write(http_response answer, bool keep);
     boost::asio::awaitable<void> wait_until_answered();
-    boost::asio::awaitable<void> linger();
     void add(std::shared_ptr<exchange_state> one, bool repeatable);
     void refuse(error_kind kind);
     void start_ready();
--- a/include/figreach/runtime/caller_session.h
+++ b/include/figreach/runtime/caller_session.h
@@ -87,7 +87,6 @@
     /// Records the metrics of the request that was just served. A forwarded request is recorded by
     /// the host that forwarded it.
     void count(monotonic_time arrival);
-    boost::asio::awaitable<void> linger();
     [[nodiscard]] attempt_event look_up(exchange& one);
     void choose_server(exchange& one);
 
--- a/src/direct/runtime/caller_connection.cpp
+++ b/src/direct/runtime/caller_connection.cpp
@@ -1,13 +1,12 @@
 #include "figreach/direct/runtime/caller_connection.h"
 
 #include <algorithm>
-#include <array>
 #include <exception>
 #include <functional>
+#include <limits>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -18,6 +17,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "figreach/runtime/caller_watch.h"
+#include "figreach/runtime/lingering_close.h"
 #include "figreach/runtime/log.h"
 #include "figreach/runtime/read_deadline.h"
 #include "figreach/runtime/relay.h"
@@ -34,8 +34,7 @@
 
 constexpr unsigned http_1_1 = 11;
 constexpr milliseconds write_timeout{5000};
-constexpr milliseconds linger_timeout{1000};
-constexpr std::size_t linger_chunk_bytes = 16 * 1024;
+constexpr std::size_t first_read_bytes = 16 * 1024;
 /// Limit on the body of one request.
 constexpr std::uint64_t max_body_bytes = 32 * 1024 * 1024;
 constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
@@ -123,7 +122,7 @@
         const caller_watch watch{this->stream.socket(), [this] { this->drop_all(); }};
         co_await this->wait_until_answered();
     }
-    co_await this->linger();
+    co_await lingering_close(this->stream, std::numeric_limits<std::uint64_t>::max());
 }
 
 void caller_connection::close_if_idle()
@@ -175,7 +174,7 @@
     this->stream.expires_never();
     this->waiting = true;
     const auto [failed, count] =
-        co_await this->stream.async_read_some(this->buffer.prepare(linger_chunk_bytes), no_throw);
+        co_await this->stream.async_read_some(this->buffer.prepare(first_read_bytes), no_throw);
     this->waiting = false;
     if (failed) {
         // A caller that closes its side does not wait for answers.
@@ -413,20 +412,4 @@
     }
 }
 
-/// Shuts down the sending side and reads until the caller closes, so that a reset does not discard
-/// the last response.
-asio::awaitable<void> caller_connection::linger()
-{
-    beast::error_code failed;
-    this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, failed);
-    const auto until = monotonic_time::clock::now() + linger_timeout;
-    this->stream.expires_at(until);
-    read_deadline deadline{until};
-    std::array<char, linger_chunk_bytes> chunk{};
-    while (!failed) {
-        const auto result = co_await read_some(this->stream, asio::buffer(chunk), deadline);
-        failed = result.first;
-    }
-}
-
 } // namespace figreach::direct
--- a/src/runtime/caller_session.cpp
+++ b/src/runtime/caller_session.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include "figreach/runtime/caller_watch.h"
+#include "figreach/runtime/lingering_close.h"
 #include "figreach/runtime/read_deadline.h"
 #include "figreach/runtime/relay_outcome.h"
 #include "figreach/runtime/request_framing.h"
@@ -29,9 +30,7 @@
 /// not held in memory.
 constexpr std::uint64_t max_body_bytes = std::uint64_t{1} << 40U;
 constexpr seconds idle_timeout{60};
-constexpr milliseconds linger_timeout{1000};
-constexpr std::size_t max_linger_bytes = 1024 * 1024;
-constexpr std::size_t linger_chunk_bytes = 16 * 1024;
+constexpr std::uint64_t max_linger_bytes = 1024 * 1024;
 
 constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 
@@ -153,7 +152,7 @@
     this->stream.socket().set_option(asio::ip::tcp::no_delay{true}, ignored);
     while (co_await this->serve_one()) {
     }
-    co_await this->linger();
+    co_await lingering_close(this->stream, max_linger_bytes);
 }
 
 void caller_session::close_if_idle()
@@ -509,27 +508,4 @@
                                *this->served.result, monotonic_time::clock::now() - arrival);
 }
 
-/// Lingering close: shuts down the sending side, then reads and discards input for a limited time.
-/// Closing with unread input would reset the connection and could destroy an answer in transit.
-asio::awaitable<void> caller_session::linger()
-{
-    beast::error_code failed;
-    this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, failed);
-    if (failed) {
-        co_return;
-    }
-    const auto until = monotonic_time::clock::now() + linger_timeout;
-    this->stream.expires_at(until);
-    read_deadline deadline{until};
-    std::array<char, linger_chunk_bytes> chunk{};
-    std::size_t drained = 0;
-    while (drained < max_linger_bytes) {
-        const auto [bad, count] = co_await read_some(this->stream, asio::buffer(chunk), deadline);
-        if (bad) {
-            co_return;
-        }
-        drained += count;
-    }
-}
-
 } // namespace figreach
