Share the idle host and the endless senders of tests

Each stood twice. All rows, bounds and assertions stay; endless_request_test sends several repetitions in one write now, as endless_message_test did.

--- a/test/direct/crash_record_test.cpp
+++ b/test/direct/crash_record_test.cpp
@@ -3,7 +3,7 @@
 #include <functional>
 
 #include "../property.h"
-#include "figreach/direct/runtime/host_context.h"
+#include "idle_host.h"
 
 using namespace figreach;
 using namespace figreach::direct;
@@ -25,29 +25,14 @@
     return {.term = term, .reports = {held}};
 }
 
-direct_settings settings_of_h1()
+void read(host_context& state, store_revision revision, const crash_record& record)
 {
-    direct_settings out;
-    out.name = {"h1"};
-    out.store_address = "127.0.0.1:1";
-    return out;
+    (void)state.cluster.apply(store_part::own,
+                              {crash_record_update{.record = record, .revision = revision}}, true,
+                              monotonic_time::clock::now());
+    state.apply_crash_record();
 }
 
-/// A host that does not run its event loop.
-struct idle_host {
-    void read(store_revision revision, const crash_record& record)
-    {
-        (void)this->state.cluster.apply(
-            store_part::own, {crash_record_update{.record = record, .revision = revision}}, true,
-            monotonic_time::clock::now());
-        this->state.apply_crash_record();
-    }
-
-    boost::asio::io_context io;
-    metrics metrics_page;
-    host_context state{io, settings_of_h1(), metrics_page};
-};
-
 void lead(host_context& state, std::uint64_t term)
 {
     state.leads = true;
@@ -100,7 +85,7 @@
         idle_host host;
         host.state.store.observe_era(first_known_era);
         row.before(host.state);
-        host.read(row.revision, make_record(5));
+        read(host.state, row.revision, make_record(5));
         CHECK_EQUAL_TEXT(row.count, host.state.suspects.count(digest), row.name);
     }
 }
@@ -110,10 +95,10 @@
 {
     idle_host host;
     host.state.store.observe_era(first_known_era);
-    host.read({first_known_era, 7}, make_record(5));
+    read(host.state, {first_known_era, 7}, make_record(5));
     host.state.apply_leader_crash_reports({}, true);
     CHECK_EQUAL(0, host.state.suspects.count(digest));
-    host.read({first_known_era, 9}, make_record(5));
+    read(host.state, {first_known_era, 9}, make_record(5));
     CHECK_EQUAL(0, host.state.suspects.count(digest));
 }
 
--- a/test/direct/endless_answer_test.cpp
+++ b/test/direct/endless_answer_test.cpp
@@ -52,6 +52,30 @@
 /// More than a host accepts of one answer.
 constexpr std::size_t max_bytes = 64 * 1024 * 1024;
 
+/// Answers each request without end. Ends by itself after max_bytes.
+class endless_server {
+public:
+    explicit endless_server(const endless_row& row)
+        : upstream{[this, &row](tcp::socket& socket) {
+              boost::system::error_code failed;
+              asio::streambuf buffer;
+              asio::read_until(socket, buffer, "\r\n\r\n", failed);
+              asio::write(socket, asio::buffer(row.start), failed);
+              while (!failed && this->sent_bytes < max_bytes) {
+                  this->sent_bytes += asio::write(socket, asio::buffer(row.more), failed);
+              }
+          }}
+    {
+    }
+
+    [[nodiscard]] std::string address() const { return this->upstream.address(); }
+    [[nodiscard]] std::size_t sent() const { return this->sent_bytes; }
+
+private:
+    std::atomic<std::size_t> sent_bytes{0};
+    fake_upstream upstream;
+};
+
 } // namespace
 
 TEST_GROUP(endless_answer_test){};
@@ -60,20 +84,11 @@
 TEST(endless_answer_test, an_answer_without_end_is_cut_off_and_its_outcome_is_unknown)
 {
     for (const auto& row : endless_rows) {
-        std::atomic<std::size_t> sent{0};
-        fake_upstream server{[&](tcp::socket& socket) {
-            boost::system::error_code failed;
-            asio::streambuf buffer;
-            asio::read_until(socket, buffer, "\r\n\r\n", failed);
-            asio::write(socket, asio::buffer(row.start), failed);
-            while (!failed && sent < max_bytes) {
-                sent += asio::write(socket, asio::buffer(row.more), failed);
-            }
-        }};
+        const endless_server server{row};
         path_fixture host{server.address()};
         const auto response = host.exchange(order_one);
         STRNCMP_EQUAL_TEXT("HTTP/1.1 502", response.c_str(), 12, row.name);
-        CHECK_TRUE_TEXT(sent < max_bytes, row.name);
+        CHECK_TRUE_TEXT(server.sent() < max_bytes, row.name);
     }
 }
 
@@ -106,16 +121,7 @@
          "1;" + std::string(1000, 'a') + "\r\nx\r\n"},
     };
     for (const auto& row : rows) {
-        std::atomic<std::size_t> sent{0};
-        fake_upstream server{[&](tcp::socket& socket) {
-            boost::system::error_code failed;
-            asio::streambuf buffer;
-            asio::read_until(socket, buffer, "\r\n\r\n", failed);
-            asio::write(socket, asio::buffer(row.start), failed);
-            while (!failed && sent < max_bytes) {
-                sent += asio::write(socket, asio::buffer(row.more), failed);
-            }
-        }};
+        const endless_server server{row};
         asio::io_context io;
         process_continuity processes;
         order_client client{io, processes};
@@ -129,6 +135,6 @@
         asio::co_spawn(io, call, asio::detached);
         io.run();
         CHECK_TRUE_TEXT(std::get<call_failure>(*result) == call_failure::no_answer, row.name);
-        CHECK_TRUE_TEXT(sent < max_bytes, row.name);
+        CHECK_TRUE_TEXT(server.sent() < max_bytes, row.name);
     }
 }
--- a/test/direct/endless_request_test.cpp
+++ b/test/direct/endless_request_test.cpp
@@ -5,8 +5,6 @@
 
 namespace {
 
-constexpr milliseconds sending_limit{8000};
-
 const std::string chunked = "Transfer-Encoding: chunked\r\n";
 
 struct endless_row {
@@ -26,18 +24,6 @@
      std::string(1000, 'a'), "HTTP/1.1 400"},
 };
 
-/// Sends without pause until the other side closes the connection or the time is over. Returns
-/// whether it was closed.
-bool send_until_closed(tcp::socket& socket, const std::string& text)
-{
-    const auto until = monotonic_time::clock::now() + sending_limit;
-    boost::system::error_code failed;
-    while (!failed && monotonic_time::clock::now() < until) {
-        asio::write(socket, asio::buffer(text), failed);
-    }
-    return failed.failed();
-}
-
 } // namespace
 
 TEST_GROUP(endless_request_test){};
--- a/test/direct/leadership_test.cpp
+++ b/test/direct/leadership_test.cpp
@@ -1,6 +1,7 @@
 #include "figreach/direct/runtime/leadership.h"
 
 #include "../property.h"
+#include "idle_host.h"
 
 using namespace figreach;
 using namespace figreach::direct;
@@ -41,22 +42,6 @@
             .tables = {}};
 }
 
-direct_settings settings_of_h1()
-{
-    direct_settings out;
-    out.name = {"h1"};
-    out.store_address = "127.0.0.1:1";
-    return out;
-}
-
-/// A host that neither listens nor runs its event loop.
-struct idle_host {
-    boost::asio::io_context io;
-    metrics metrics_page;
-    host_context state{io, settings_of_h1(), metrics_page};
-    leadership leader{state};
-};
-
 } // namespace
 
 TEST_GROUP(leadership_test){};
--- a/test/runtime/endless_message_test.cpp
+++ b/test/runtime/endless_message_test.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr milliseconds sending_limit{8000};
-
 const std::string order = "POST /a HTTP/1.1\r\nHost: x\r\nX-Figreach-Service: s\r\n"
                           "X-Figreach-Key: k\r\nX-Figreach-Deadline-Ms: 300\r\n"
                           "Connection: close\r\n";
@@ -29,22 +27,6 @@
     {"a body without length", "HTTP/1.1 200 OK\r\n\r\n", std::string(1000, 'a')},
 };
 
-/// Sends without pause until the other side closes the connection or the time is over. Returns
-/// whether it was closed.
-bool send_until_closed(tcp::socket& socket, const std::string& text)
-{
-    const auto until = monotonic_time::clock::now() + sending_limit;
-    std::string many;
-    while (many.size() < 4000) {
-        many += text;
-    }
-    boost::system::error_code failed;
-    while (!failed && monotonic_time::clock::now() < until) {
-        boost::asio::write(socket, boost::asio::buffer(many), failed);
-    }
-    return failed.failed();
-}
-
 /// A server that answers each request without end.
 class endless_server {
 public:
--- a/test/runtime/plane_fixture.h
+++ b/test/runtime/plane_fixture.h
@@ -122,6 +122,24 @@
     return out;
 }
 
+/// Sends without pause until the other side closes the connection or the time is over. Returns
+/// whether it was closed.
+inline bool send_until_closed(tcp::socket& socket, const std::string& text)
+{
+    constexpr milliseconds sending_limit{8000};
+    constexpr std::size_t min_write_bytes = 4000;
+    const auto until = monotonic_time::clock::now() + sending_limit;
+    std::string many;
+    while (many.size() < min_write_bytes) {
+        many += text;
+    }
+    boost::system::error_code failed;
+    while (!failed && monotonic_time::clock::now() < until) {
+        boost::asio::write(socket, boost::asio::buffer(many), failed);
+    }
+    return failed.failed();
+}
+
 /// A request plane with one service "s" on one backend server.
 class plane_fixture {
 public:
