Read a whole message with one call

read_body() reads a header as well if it has not been read; it is named read_message() now, and admin_server calls it once. No change of behaviour.

--- a/include/figreach/direct/runtime/store_feed.h
+++ b/include/figreach/direct/runtime/store_feed.h
@@ -43,7 +43,8 @@
     [[nodiscard]] std::vector<key_load_entry> take_loads();
     /// Counts a request for a key, to be reported to the leader.
     void record_load(const service_id& service, std::uint32_t key);
-    /// Logs changes of the cluster state and notifies those who wait for them.
+    /// Called after changes of the cluster state: logs them, hands on what the host takes over from
+    /// them and notifies those who wait.
     void publish(const std::vector<state_change>& lines);
     /// Accepts another host's information about the current leader unless its term is outdated.
     void accept_hint(const leader_hint& reported);
--- a/include/figreach/runtime/timed_read.h
+++ b/include/figreach/runtime/timed_read.h
@@ -36,16 +36,16 @@
             boost::beast::http::basic_parser<is_request>& parser, read_deadline& deadline);
 
 /// Reads at most once and parses what has arrived. Returns the number of bytes parsed, which
-/// includes the framing of chunks. Requires that the header has been read.
+/// includes the header and the framing of chunks.
 template <bool is_request>
 boost::asio::awaitable<read_result>
 read_some_body(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
                boost::beast::http::basic_parser<is_request>& parser, read_deadline& deadline);
 
-/// Reads the rest of a message. Fails as boost::beast::http::async_read.
+/// Reads the rest of a message, or all of it. Fails as boost::beast::http::async_read.
 template <bool is_request>
 boost::asio::awaitable<boost::beast::error_code>
-read_body(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
-          boost::beast::http::basic_parser<is_request>& parser, read_deadline& deadline);
+read_message(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
+             boost::beast::http::basic_parser<is_request>& parser, read_deadline& deadline);
 
 } // namespace figreach
--- a/src/runtime/admin_server.cpp
+++ b/src/runtime/admin_server.cpp
@@ -78,11 +78,7 @@
             const auto read_until = monotonic_time::clock::now() + idle_timeout;
             stream.expires_at(read_until);
             read_deadline deadline{read_until};
-            auto failed = co_await read_header(stream, buffer, parser, deadline);
-            if (!failed) {
-                failed = co_await read_body(stream, buffer, parser, deadline);
-            }
-            if (failed) {
+            if (co_await read_message(stream, buffer, parser, deadline)) {
                 co_return;
             }
             const auto out = this->answer(parser.get());
--- a/src/runtime/grant_client.cpp
+++ b/src/runtime/grant_client.cpp
@@ -84,7 +84,7 @@
                                                read_until, [](auto&) {});
         if (!failed) {
             failed =
-                co_await read_body(connection->stream, connection->buffer, *parser, read_until);
+                co_await read_message(connection->stream, connection->buffer, *parser, read_until);
         }
         if (failed) {
             reset(*connection);
--- a/src/runtime/relay.cpp
+++ b/src/runtime/relay.cpp
@@ -101,7 +101,7 @@
             caller.parser.get().body().data = chunk.data();
             caller.parser.get().body().size = chunk.size();
             const auto failed =
-                co_await read_body(caller.stream, caller.buffer, caller.parser, read_until);
+                co_await read_message(caller.stream, caller.buffer, caller.parser, read_until);
             if (!is_expected(failed)) {
                 co_return send_result{.caller_left = true};
             }
@@ -187,7 +187,8 @@
     while (!answer.is_done()) {
         answer.get().body().data = body.data() + filled;
         answer.get().body().size = body.size() - filled;
-        const auto failed = co_await read_body(upstream.stream, upstream.buffer, answer, deadline);
+        const auto failed =
+            co_await read_message(upstream.stream, upstream.buffer, answer, deadline);
         filled = body.size() - answer.get().body().size;
         if (!is_expected(failed)) {
             co_return false;
@@ -263,7 +264,7 @@
             answer.get().body().data = chunk.data();
             answer.get().body().size = chunk.size();
             const auto failed =
-                co_await read_body(upstream.stream, upstream.buffer, answer, deadline);
+                co_await read_message(upstream.stream, upstream.buffer, answer, deadline);
             if (!is_expected(failed)) {
                 co_return relay_ending::truncated;
             }
@@ -487,7 +488,7 @@
         caller.parser.get().body().data = body.data() + filled;
         caller.parser.get().body().size = body.size() - filled;
         const auto failed =
-            co_await read_body(caller.stream, caller.buffer, caller.parser, read_until);
+            co_await read_message(caller.stream, caller.buffer, caller.parser, read_until);
         filled = body.size() - caller.parser.get().body().size;
         if (!is_expected(failed)) {
             co_return std::nullopt;
--- a/src/runtime/timed_read.cpp
+++ b/src/runtime/timed_read.cpp
@@ -117,9 +117,9 @@
 }
 
 template <bool is_request>
-asio::awaitable<beast::error_code> read_body(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-                                             http::basic_parser<is_request>& parser,
-                                             read_deadline& deadline)
+asio::awaitable<beast::error_code>
+read_message(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+             http::basic_parser<is_request>& parser, read_deadline& deadline)
 {
     beast::error_code failed;
     while (!failed && !parser.is_done()) {
@@ -137,9 +137,9 @@
                                                      http::basic_parser<true>&, read_deadline&);
 template asio::awaitable<read_result> read_some_body(beast::tcp_stream&, beast::flat_buffer&,
                                                      http::basic_parser<false>&, read_deadline&);
-template asio::awaitable<beast::error_code> read_body(beast::tcp_stream&, beast::flat_buffer&,
-                                                      http::basic_parser<true>&, read_deadline&);
-template asio::awaitable<beast::error_code> read_body(beast::tcp_stream&, beast::flat_buffer&,
-                                                      http::basic_parser<false>&, read_deadline&);
+template asio::awaitable<beast::error_code> read_message(beast::tcp_stream&, beast::flat_buffer&,
+                                                         http::basic_parser<true>&, read_deadline&);
+template asio::awaitable<beast::error_code>
+read_message(beast::tcp_stream&, beast::flat_buffer&, http::basic_parser<false>&, read_deadline&);
 
 } // namespace figreach
